--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,972 @@
+package deckflow_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"deckflow"
+)
+
+// rig drives a balancer by hand and keeps what it asks for.
+type rig struct {
+	t      *testing.T
+	now    time.Duration
+	b      *deckflow.Balancer
+	did    []string // all actions but timers, in order
+	to     map[string][]string
+	sentAt map[string]time.Duration
+	timer  []time.Duration
+	n      int
+}
+
+func (r *rig) Send(id, ep string, _ time.Duration) {
+	r.did = append(r.did, "send "+id+" "+ep)
+	r.to[id] = append(r.to[id], ep)
+	r.sentAt[id] = r.now
+}
+func (r *rig) Cancel(id string, n int)           { r.did = append(r.did, fmt.Sprint("cancel ", id, " ", n)) }
+func (r *rig) Refuse(id string, _ time.Duration) { r.did = append(r.did, "refuse "+id) }
+func (r *rig) Fail(id string)                    { r.did = append(r.did, "fail "+id) }
+func (r *rig) Probe(ep string)                   { r.did = append(r.did, "probe "+ep) }
+func (r *rig) Subscribe()                        { r.did = append(r.did, "subscribe") }
+func (r *rig) Timer(at time.Duration)            { r.timer = append(r.timer, at) }
+func (r *rig) Log(string)                        {}
+
+func basic() deckflow.Settings {
+	return deckflow.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
+		ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: []deckflow.Class{
+			{Name: "read", Effect: deckflow.Safe, Aim: 2 * time.Second},
+			{Name: "bill", Effect: deckflow.Unsafe, Aim: 2 * time.Second}}}
+}
+
+func newRig(t *testing.T, s deckflow.Settings, endpoints ...string) *rig {
+	r := &rig{t: t, now: 100 * time.Second, to: map[string][]string{}, sentAt: map[string]time.Duration{}}
+	s.Seed = 7
+	r.b = deckflow.New(r.now, s, r)
+	l := deckflow.List{Complete: true}
+	for _, id := range endpoints {
+		l.Entries = append(l.Entries, deckflow.Endpoint{ID: id})
+	}
+	r.b.EndpointList(r.now, l)
+	return r
+}
+
+// wait lets time pass and fires the timers that fall due.
+func (r *rig) wait(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now += ms
+		due := 0
+		r.timer = slices.DeleteFunc(r.timer, func(at time.Duration) bool {
+			if at <= r.now {
+				due++
+			}
+			return at <= r.now
+		})
+		for range due {
+			r.b.Timer(r.now)
+		}
+	}
+}
+
+// call makes a request and returns its id and the endpoint it went to, if any.
+func (r *rig) call(class string) (id, ep string) {
+	id = r.ask(class, "")
+	if len(r.to[id]) > 0 {
+		ep = r.to[id][0]
+	}
+	return id, ep
+}
+
+// ask is a call for a tenant, which need not be sent on.
+func (r *rig) ask(class, tenant string) string {
+	r.n++
+	id := "r" + strconv.Itoa(r.n)
+	r.b.Request(r.now, deckflow.Request{ID: id, Class: class, Tenant: tenant, Deadline: r.now + 5*time.Second})
+	return id
+}
+
+// end reports the outcome of the latest attempt of a request.
+func (r *rig) end(id string, result deckflow.Result) {
+	n := len(r.to[id]) - 1
+	r.b.Outcome(r.now, deckflow.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: result, Took: r.now - r.sentAt[id],
+		Final: result == deckflow.OK})
+}
+
+func (r *rig) count(prefix string) int {
+	n := 0
+	for _, d := range r.did {
+		if strings.HasPrefix(d, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// warm serves calls one after another, each endpoint taking its own time.
+func (r *rig) warm(calls int, took map[string]time.Duration) map[string]int {
+	share := map[string]int{}
+	for range calls {
+		id, ep := r.call("read")
+		share[ep]++
+		r.wait(took[ep])
+		r.end(id, deckflow.OK)
+	}
+	return share
+}
+
+func TestTurnsFollowSpeed(t *testing.T) {
+	r := newRig(t, basic(), "fast", "slow")
+	took := map[string]time.Duration{"fast": 40 * ms, "slow": 60 * ms}
+	r.warm(100, took)
+	share := r.warm(400, took)
+	if f, s := share["fast"], share["slow"]; f < s*5/4 || f > s*2 {
+		t.Errorf("fast got %d turns and slow %d; between 1.25 and 2 times as many were due", f, s)
+	}
+}
+
+func TestEqualEndpointsTakeEvenTurns(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	share := r.warm(400, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms})
+	for ep, n := range share {
+		if n < 90 || n > 110 {
+			t.Errorf("%s got %d of 400 turns", ep, n)
+		}
+	}
+}
+
+func TestSlowEndpointIsDroppedAndWinsItsTurnsBack(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	took := map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms}
+	r.warm(100, took)
+	took["d"] = 400 * ms
+	r.warm(60, took)
+	if n := r.warm(200, took)["d"]; n > 10 {
+		t.Errorf("a slow endpoint got %d of 200 calls", n)
+	}
+	took["d"] = 50 * ms
+	r.warm(200, took)
+	if n := r.warm(200, took)["d"]; n < 35 {
+		t.Errorf("a recovered endpoint got %d of 200 calls", n)
+	}
+}
+
+func TestOneLuckyEndpointKeepsHalfActive(t *testing.T) {
+	r := newRig(t, basic(), "lucky", "b", "c", "d", "e", "f")
+	took := map[string]time.Duration{"lucky": 2 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms, "e": 50 * ms, "f": 50 * ms}
+	r.warm(200, took)
+	others := 0
+	for ep, n := range r.warm(600, took) {
+		if ep != "lucky" && n > 1 {
+			others++
+		}
+	}
+	if others < 2 {
+		t.Errorf("only %d endpoints beside the lucky one are in use", others)
+	}
+}
+
+// TestHungEndpointLosesItsTurnsWithinAFewAnswerTimes: a hang must not keep its turns for a whole time-out.
+func TestHungEndpointLosesItsTurnsWithinAFewAnswerTimes(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "hung")
+	took := map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "hung": 50 * ms}
+	r.warm(100, took)
+	caught, start := 0, r.now
+	for range 200 {
+		id, ep := r.call("read")
+		if ep == "hung" {
+			caught++
+			r.wait(20 * ms)
+			continue
+		}
+		r.wait(20 * ms)
+		r.end(id, deckflow.OK)
+	}
+	if trials := int((r.now - start) / (500 * ms)); caught > 5+trials {
+		t.Errorf("a hung endpoint caught %d of 200 calls", caught)
+	}
+}
+
+func TestBrokenSafeCallGoesOutAgainAndUnsafeDoesNot(t *testing.T) {
+	for class, want := range map[string]int{"read": 2, "bill": 1} {
+		r := newRig(t, basic(), "a", "b", "c")
+		r.warm(50, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms})
+		id, _ := r.call(class)
+		r.wait(time.Second)
+		r.end(id, deckflow.Reset)
+		if n := len(r.to[id]); n != want {
+			t.Errorf("a broken %s was sent %d times, want %d", class, n, want)
+		}
+	}
+}
+
+func TestFailedConnectDropsUntilATrial(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "down")
+	r.warm(100, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "down": 50 * ms})
+	tries, start := []time.Duration{}, r.now
+	for r.now < start+20*time.Second {
+		id, ep := r.call("read")
+		if ep == "down" {
+			tries = append(tries, r.now)
+			r.end(id, deckflow.ConnectFailed)
+			if n := len(r.to[id]); n != 2 || r.to[id][1] == "down" {
+				t.Fatalf("after a failed connect the call went to %v", r.to[id])
+			}
+		}
+		r.wait(20 * ms)
+		r.end(id, deckflow.OK)
+	}
+	if len(tries) < 4 || len(tries) > 12 {
+		t.Errorf("a dead endpoint was tried %d times in 20 s", len(tries))
+	}
+	for i := 3; i < len(tries); i++ { // the waits grow until they reach their limit
+		if wait := tries[i] - tries[i-1]; wait < 500*ms {
+			t.Errorf("trial %d came after %v", i, wait)
+		}
+	}
+}
+
+func TestWithNoneActiveTheSoonestTrialIsTaken(t *testing.T) {
+	r := newRig(t, basic(), "only")
+	id, _ := r.call("read")
+	r.end(id, deckflow.ConnectFailed) // dropped, and the resend is the none-active branch
+	if len(r.to[id]) != 2 {
+		t.Fatalf("actions %v", r.did)
+	}
+	r.wait(30 * ms)
+	r.end(id, deckflow.OK)
+	if _, ep := r.call("read"); ep != "only" {
+		t.Error("a trial that succeeded with none active did not readmit its endpoint")
+	}
+}
+
+// TestQuietCallersDoNotCrowdADroppedEndpoint: trials must stay below the caller's own even share (big-1 of regina).
+func TestQuietCallersDoNotCrowdADroppedEndpoint(t *testing.T) {
+	names := []string{"slow"}
+	took := map[string]time.Duration{"slow": 900 * ms}
+	for i := range 19 {
+		names = append(names, "e"+strconv.Itoa(i))
+		took[names[i+1]] = 50 * ms
+	}
+	r := newRig(t, basic(), names...)
+	slow := 0
+	for range 400 { // two calls a second, an even share is one call to each every 10 s
+		id, ep := r.call("read")
+		if ep == "slow" {
+			slow++
+		}
+		r.wait(took[ep])
+		r.end(id, deckflow.OK)
+		r.wait(500*ms - min(took[ep], 400*ms))
+	}
+	if slow > 14 {
+		t.Errorf("the slow endpoint got %d of 400 calls; an even share is 20", slow)
+	}
+}
+
+// tables returns how often each endpoint is met by callers that ask once a second each, and the most and the fewest
+// endpoints that one caller meets.
+func tables(t *testing.T, callers, endpoints int) (met map[string]int, fewest, most int) {
+	names := []string{}
+	for i := range endpoints {
+		names = append(names, "e"+strconv.Itoa(i))
+	}
+	met, fewest = map[string]int{}, endpoints
+	for c := range callers {
+		s := basic()
+		s.Balancers, s.Index = callers, c
+		r := newRig(t, s, names...)
+		own := map[string]bool{}
+		for range 40 {
+			id, ep := r.call("read")
+			own[ep] = true
+			r.wait(50 * ms)
+			r.end(id, deckflow.OK)
+			r.wait(950 * ms)
+		}
+		for ep := range own {
+			met[ep]++
+		}
+		fewest, most = min(fewest, len(own)), max(most, len(own))
+	}
+	return met, fewest, most
+}
+
+// On tartu's full-size days 420 callers with two calls a second each met each of 80 servers every 40 s: none saw a
+// server slow down, and nearly every call opened a connection.
+func TestManyQuietCallersKeepToTables(t *testing.T) {
+	met, fewest, most := tables(t, 200, 60)
+	if fewest < 4 || most > 12 {
+		t.Errorf("callers meet %d to %d of 60 endpoints", fewest, most)
+	}
+	least, highest := 200, 0
+	for _, n := range met {
+		least, highest = min(least, n), max(highest, n)
+	}
+	if len(met) < 60 || float64(highest) > 1.3*float64(least) {
+		t.Errorf("%d endpoints are met, by %d to %d callers", len(met), least, highest)
+	}
+}
+
+// With few callers, one more or less in whose table an endpoint is would be an imbalance of its own.
+func TestFewCallersMeetAllEndpoints(t *testing.T) {
+	if met, fewest, _ := tables(t, 6, 12); len(met) != 12 || fewest != 12 {
+		t.Errorf("a caller among few meets %d of 12 endpoints, all together %d", fewest, len(met))
+	}
+}
+
+// In tartu's overload (incident i35432f) servers choked within two seconds, before a caller with few calls out saw
+// its room used up. What is asked beyond all shares together shows at once: then over-share requests are refused.
+func TestOverShareRequestsAreRefusedWhenAllAskTooMuch(t *testing.T) {
+	for perSecond, want := range map[int]bool{4: false, 16: true} {
+		s := basic()
+		s.Balancers = 10
+		s.Tenants = []deckflow.Tenant{{Name: "greedy", Quota: 20}, {Name: "quiet", Quota: 60}} // 8 a second here
+		r := newRig(t, s, "a", "b", "c")
+		for range 10 * perSecond {
+			id := r.ask("read", "greedy")
+			if len(r.to[id]) > 0 {
+				r.wait(10 * ms)
+				r.end(id, deckflow.OK)
+			}
+			r.wait(time.Second/time.Duration(perSecond) - 10*ms)
+		}
+		if n := r.count("refuse "); n > 0 != want {
+			t.Errorf("%d of %d requests are refused, asked at %d a second", n, 10*perSecond, perSecond)
+		}
+	}
+}
+
+// In ha74963 machines of a third of the speed took half of the calls of fast ones, and choked: most of an answer's time
+// was spent in the tiers below, which is the same behind all. There the charge is what the endpoint itself adds.
+func TestTimeBelowDoesNotEvenOutTheShares(t *testing.T) {
+	for below, want := range map[int][2]float64{0: {1.2, 1.9}, 1: {2.2, 4.5}} {
+		s := basic()
+		s.TiersBelow = below
+		r := newRig(t, s, "fast1", "fast2", "slow1", "slow2")
+		took := map[string]time.Duration{"fast1": 100 * ms, "fast2": 100 * ms, "slow1": 150 * ms, "slow2": 150 * ms}
+		r.warm(200, took)
+		share := map[string]float64{}
+		for range 400 {
+			id, ep := r.call("read")
+			share[ep[:4]]++
+			r.wait(took[ep])
+			r.end(id, deckflow.OK)
+		}
+		if got := share["fast"] / share["slow"]; got < want[0] || got > want[1] {
+			t.Errorf("with %d tiers below, fast ones get %.2f times the calls of slow ones", below, got)
+		}
+	}
+}
+
+// In h36c04c a burst tipped the servers while callers with a few calls a second smoothed twenty answers before any of
+// them asked for less.
+func TestQuietCallerSoonSeesTheCrowd(t *testing.T) {
+	s := basic()
+	s.Balancers = 10
+	r := newRig(t, s, "a", "b", "c", "d")
+	due := map[string]time.Duration{}
+	ask := func(took time.Duration, n int) (out int) {
+		for range n * 50 {
+			if r.now%(250*ms) < 10*ms {
+				if id, ep := r.call("read"); ep != "" {
+					due[id] = r.now + took
+				}
+			}
+			r.wait(10 * ms)
+			for _, id := range slices.Sorted(maps.Keys(due)) {
+				if r.now >= due[id] {
+					r.end(id, deckflow.OK)
+					delete(due, id)
+				}
+			}
+			out = max(out, len(due))
+		}
+		return out
+	}
+	ask(200*ms, 40)
+	ask(1200*ms, 4) // two seconds of answers six times as slow
+	if out := ask(1200*ms, 2); out > 3 {
+		t.Errorf("%d calls are out after two seconds of slow answers", out)
+	}
+}
+
+// TestColdEndpointIsNotPushedOver: twenty callers hear of one start at the same time.
+func TestColdEndpointIsNotPushedOver(t *testing.T) {
+	const callers, perSecond = 20, 5.0
+	names := []string{}
+	for i := range 9 {
+		names = append(names, "e"+strconv.Itoa(i))
+	}
+	got := [12]int{}
+	for c := range callers {
+		s := basic()
+		r := newRig(t, s, names...)
+		r.b = deckflow.New(r.now, deckflow.Settings{Seed: uint64(c), Balancers: callers, Index: c, MaxAttempts: 4, Resolution: ms,
+			ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: s.Classes}, r)
+		l := deckflow.List{Complete: true}
+		for _, id := range names {
+			l.Entries = append(l.Entries, deckflow.Endpoint{ID: id})
+		}
+		r.b.EndpointList(r.now, l)
+		step := func() string {
+			id, ep := r.call("read")
+			r.wait(50 * ms)
+			r.end(id, deckflow.OK)
+			r.wait(time.Second/time.Duration(perSecond) - 50*ms)
+			return ep
+		}
+		for range 30 {
+			step()
+		}
+		start := r.now
+		r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "cold", Started: start}}})
+		for r.now < start+11*time.Second {
+			if at := (r.now - start) / time.Second; step() == "cold" {
+				got[at]++
+			}
+		}
+	}
+	even := callers * perSecond / 10 // calls a second to each endpoint
+	for at := range 11 {             // nor when it counts as warm at last (incident id93449)
+		warm := min(0.3+0.7*float64(at+1)/9, 1)
+		if n := float64(got[at]); n > even*warm*2+4 {
+			t.Errorf("second %d: a cold endpoint got %v calls, an even warm share is %v", at, n, even*warm)
+		}
+	}
+	if got[0] == 0 && got[1] == 0 && got[2] == 0 || got[10] < int(even/2) {
+		t.Errorf("a cold endpoint did not come into use: %v", got)
+	}
+}
+
+// TestNoClassStarvesInTheQueue: the class with the shortest aim must not be the only one refused in overload.
+func TestNoClassStarvesInTheQueue(t *testing.T) {
+	s := basic()
+	s.Classes[0].Aim, s.Classes[1].Aim = 500*ms, 4*time.Second
+	r := newRig(t, s, "a")
+	served, out := map[string]int{}, []string{}
+	class := map[string]string{}
+	for i := range 1500 { // some hundred calls a second, one answer every 40 ms
+		id, _ := r.call([]string{"read", "bill"}[i%2])
+		class[id] = []string{"read", "bill"}[i%2]
+		r.wait(10 * ms)
+		if i%4 == 0 {
+			for j := 1; j <= r.n; j++ {
+				if id := "r" + strconv.Itoa(j); len(r.to[id]) == 1 && !slices.Contains(out, id) && !slices.Contains(r.did, "refuse "+id) &&
+					!slices.Contains(r.did, "fail "+id) {
+					out = append(out, id)
+					r.end(id, deckflow.OK)
+					served[class[id]]++
+					break
+				}
+			}
+		}
+	}
+	if served["read"] < served["bill"]/3 {
+		t.Errorf("served %v", served)
+	}
+}
+
+func TestErrorsOfAllAreLaidAtTheNextTier(t *testing.T) {
+	s := basic()
+	s.TiersBelow, s.MaxAttempts = 1, 1
+	r := newRig(t, s, "a", "b", "c", "d")
+	r.warm(100, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms})
+	share := map[string]int{}
+	for range 80 { // every call ends in an error
+		id, ep := r.call("read")
+		share[ep]++
+		r.wait(50 * ms)
+		r.end(id, deckflow.Errored)
+	}
+	for _, ep := range []string{"a", "b", "c", "d"} {
+		if share[ep] < 14 {
+			t.Errorf("%s got %d of 80 calls that all failed below: %v", ep, share[ep], share)
+		}
+	}
+}
+
+// TestFastFailingEndpointDrawsNoTraffic guards against a middle-tier endpoint whose quick errors pass for the tier
+// below's fault and for speed (incident i40577d).
+func TestFastFailingEndpointDrawsNoTraffic(t *testing.T) {
+	s := basic()
+	s.TiersBelow, s.MaxAttempts = 1, 1
+	names := []string{"broken"}
+	for i := range 7 {
+		names = append(names, "e"+strconv.Itoa(i))
+	}
+	r := newRig(t, s, names...)
+	broken := 0
+	for range 400 {
+		id, ep := r.call("read")
+		if ep == "broken" {
+			broken++
+			r.wait(2 * ms)
+			r.end(id, deckflow.Errored)
+			continue
+		}
+		r.wait(50 * ms)
+		r.end(id, deckflow.OK)
+	}
+	if broken > 30 {
+		t.Errorf("a broken endpoint got %d of 400 calls", broken)
+	}
+}
+
+func TestOverShareIsRefusedOnlyWhenRoomIsShort(t *testing.T) {
+	s := basic()
+	s.Tenants = []deckflow.Tenant{{Name: "big", Quota: 10}, {Name: "small", Quota: 1000}}
+	r := newRig(t, s, "a", "b")
+	ask := func(tenant string) string {
+		r.n++
+		id := "r" + strconv.Itoa(r.n)
+		r.b.Request(r.now, deckflow.Request{ID: id, Class: "read", Tenant: tenant, Deadline: r.now + 5*time.Second})
+		return id
+	}
+	for range 9 {
+		ask("big")
+	}
+	if r.count("refuse") > 0 {
+		t.Fatal("refused with room to spare")
+	}
+	ask("small")
+	ask("big")
+	for range 20 {
+		ask("big")
+		ask("small")
+	}
+	refused := map[string]bool{}
+	for _, d := range r.did {
+		if id, ok := strings.CutPrefix(d, "refuse "); ok {
+			refused[id] = true
+		}
+	}
+	if len(refused) == 0 {
+		t.Fatal("nothing beyond the share was refused")
+	}
+	for i := 12; i <= r.n; i++ {
+		if small := i%2 == 1; small && refused["r"+strconv.Itoa(i)] {
+			t.Errorf("r%d is within its share and was refused", i)
+		}
+	}
+}
+
+// crowd offers a call every gap for a while. Each endpoint works on one call at a time, for work each. It returns
+// the most calls that an endpoint held in the second half of that time, and how many were answered.
+func (r *rig) crowd(gap, work, long time.Duration, endpoints ...string) (most, answered int) {
+	queue, busy, begun := map[string][]string{}, map[string]time.Duration{}, r.now
+	for r.now < begun+long {
+		if id, ep := r.call("read"); ep != "" {
+			queue[ep] = append(queue[ep], id)
+		}
+		for next := r.now + gap; r.now < next; {
+			sent := len(r.did)
+			r.wait(ms)
+			for _, ep := range endpoints {
+				if busy[ep] += ms; busy[ep] >= work || len(queue[ep]) == 0 {
+					busy[ep] = 0
+					if len(queue[ep]) > 0 {
+						id := queue[ep][0]
+						queue[ep] = queue[ep][1:]
+						r.end(id, deckflow.OK)
+						answered++
+					}
+				}
+			}
+			for _, d := range r.did[sent:] { // held calls that went out since
+				if f := strings.Fields(d); f[0] == "send" && !slices.Contains(queue[f[2]], f[1]) {
+					queue[f[2]] = append(queue[f[2]], f[1])
+				}
+			}
+			for _, ep := range endpoints {
+				if r.now > begun+long/2 {
+					most = max(most, len(queue[ep]))
+				}
+			}
+		}
+	}
+	return most, answered
+}
+
+// The servers of i2b2df6 and of many overloaded days tipped into a slow state while the room still grew.
+func TestOverloadLeavesEndpointsUncrowded(t *testing.T) {
+	r := newRig(t, basic(), "a", "b")
+	most, answered := r.crowd(30*ms, 20*ms, 3*time.Second, "a", "b")
+	if r.count("refuse") > 0 {
+		t.Fatal("refused at a third of what the endpoints can do")
+	}
+	most, answered = r.crowd(5*ms, 20*ms, 6*time.Second, "a", "b")
+	if most > 5 {
+		t.Errorf("an endpoint that does one call at a time held %d", most)
+	}
+	if answered < 540 {
+		t.Errorf("%d calls answered of the 600 that could be", answered)
+	}
+	if r.count("refuse") < 400 {
+		t.Errorf("only %d refused of twice the load", r.count("refuse"))
+	}
+}
+
+// i72d39d and i2623e0: callers of the first tier that each let in what the endpoints can hold tip them in two seconds.
+func TestCallersOfTheFirstTierShareTheRoom(t *testing.T) {
+	sends := func(balancers, tier int) int {
+		s := basic()
+		s.Balancers, s.Tier = balancers, tier
+		r := newRig(t, s, "a", "b", "c", "d", "e", "f", "g", "h")
+		for range 100 {
+			r.call("read")
+		}
+		return r.count("send")
+	}
+	alone, four, below := sends(1, 0), sends(4, 0), sends(4, 1)
+	if four > alone/4+1 || four < alone/4-1 {
+		t.Errorf("alone a caller lets in %d calls at once, beside three others %d", alone, four)
+	}
+	if below != alone {
+		t.Errorf("behind the first tier a caller lets in %d calls at once, alone %d", below, alone)
+	}
+}
+
+// At the start of the standard days the first answers are those of the smallest calls. Taken for calm, they made
+// every later answer look late, and calls were refused with room to spare.
+func TestQuickFirstAnswersDoNotPassForCalm(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	due := map[string]time.Duration{}
+	seen, n, begun := 0, 0, r.now
+	for ; r.now < begun+6*time.Second; r.wait(ms) {
+		for _, id := range slices.Sorted(maps.Keys(due)) {
+			if r.now >= due[id] {
+				delete(due, id)
+				r.end(id, deckflow.OK)
+			}
+		}
+		for asked := 0; len(due)+asked < 22; asked++ {
+			if _, ep := r.call("read"); ep == "" && r.now > begun+3*time.Second {
+				t.Fatalf("no room for call %d after %v", r.n, r.now-begun)
+			}
+		}
+		for ; seen < len(r.did); seen++ {
+			if f := strings.Fields(r.did[seen]); f[0] == "send" {
+				n++
+				due[f[1]] = r.now + []time.Duration{20, 50, 90, 150, 250, 400}[n%6]*ms
+			}
+		}
+	}
+}
+
+// A lower tier that slows down must not leave a quiet caller with hardly any room.
+func TestSlownessOfFewCallsDoesNotShrinkTheRoom(t *testing.T) {
+	r := newRig(t, basic(), "a", "b")
+	r.warm(60, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms})
+	r.warm(60, map[string]time.Duration{"a": 300 * ms, "b": 300 * ms})
+	for range 9 {
+		if _, ep := r.call("read"); ep == "" {
+			t.Fatal("a call found no room beside fewer than nine")
+		}
+	}
+}
+
+func TestWithNoEndpointARequestIsHeldThenRefused(t *testing.T) {
+	r := newRig(t, basic())
+	id, _ := r.call("bill")
+	r.wait(100 * ms)
+	if len(r.did) > 0 {
+		t.Fatalf("acted at once: %v", r.did)
+	}
+	r.wait(5 * time.Second)
+	if !slices.Equal(r.did, []string{"refuse " + id}) {
+		t.Errorf("actions %v", r.did)
+	}
+	id, _ = r.call("bill")
+	r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "new"}}})
+	if len(r.to[id]) != 1 {
+		t.Error("a held request did not go to the first endpoint that came")
+	}
+}
+
+func TestProbesAreAskedAndTheIdleEndpointIsTaken(t *testing.T) {
+	s := basic()
+	s.MayProbe = true
+	r := newRig(t, s, "a", "b", "c")
+	r.call("read")
+	if r.count("probe ") != 3 {
+		t.Fatalf("actions %v", r.did)
+	}
+	for ep, held := range map[string]float64{"a": 4, "b": 0, "c": 4} {
+		r.b.Probed(r.now, deckflow.ProbeResult{Endpoint: ep, Load: deckflow.Load{Known: true, Held: held}})
+	}
+	if got := r.to["r1"]; !slices.Equal(got, []string{"b"}) {
+		t.Errorf("sent to %v", got)
+	}
+	r.call("read")
+	r.wait(50 * ms) // lost probes do not hold a request for long
+	if len(r.to["r2"]) != 1 {
+		t.Error("a request waits for probes that never come back")
+	}
+}
+
+// In i392ed2 a zone's servers hung: they answered probes, with eight calls in hand, and nothing else. Never picked,
+// they stayed next in turn, took all the probes, and calls went blindly to servers that nobody had asked.
+func TestCrowdedEndpointsDoNotTakeAllTheProbes(t *testing.T) {
+	s := basic()
+	s.MayProbe = true
+	eps := []string{"a", "b", "c", "d", "e", "hung1", "hung2", "hung3"}
+	r := newRig(t, s, eps...)
+	probes, toHung, picks := 0, 0, 0
+	for range 200 {
+		seen := len(r.did)
+		id, _ := r.call("read")
+		for _, d := range r.did[seen:] {
+			ep, ok := strings.CutPrefix(d, "probe ")
+			if !ok {
+				continue
+			}
+			load := deckflow.Load{Known: true, Held: 1}
+			if probes++; strings.HasPrefix(ep, "hung") {
+				load.Held = 8
+				toHung++
+			}
+			r.b.Probed(r.now, deckflow.ProbeResult{Endpoint: ep, Load: load})
+		}
+		if ep := r.to[id][0]; strings.HasPrefix(ep, "hung") {
+			picks++
+			r.end(id, deckflow.Full)
+			continue
+		}
+		r.wait(50 * ms)
+		r.end(id, deckflow.OK)
+	}
+	if toHung > probes/4 {
+		t.Errorf("%d of %d probes went to three crowded endpoints of eight", toHung, probes)
+	}
+	if picks > 6 {
+		t.Errorf("%d calls went to endpoints known to be crowded", picks)
+	}
+}
+
+func TestDiscoveryIsAskedAgainAfterAFailure(t *testing.T) {
+	s := basic()
+	s.MustSubscribe, s.AskWithin = true, 10*time.Second
+	r := newRig(t, s, "a")
+	r.b.EndpointList(r.now, deckflow.List{Failed: true})
+	r.wait(5 * time.Second)
+	if n := r.count("subscribe"); n != 2 {
+		t.Errorf("asked %d times", n)
+	}
+}
+
+// TestOddSettingsDoNoHarm plays with settings that no site has.
+func TestOddSettingsDoNoHarm(t *testing.T) {
+	for _, s := range []deckflow.Settings{{}, {MayProbe: true}, {Balancers: -1, MaxAttempts: -1,
+		Classes: []deckflow.Class{{}}, Tenants: []deckflow.Tenant{{}}}} {
+		r := newRig(t, s, "a", "b")
+		for range 20 {
+			r.call("")
+			r.call("unlisted")
+			r.wait(10 * ms)
+		}
+		r.wait(6 * time.Second)
+		for i := 1; i <= r.n; i++ {
+			id := "r" + strconv.Itoa(i)
+			answers := 0
+			for _, d := range r.did {
+				if d == "refuse "+id || d == "fail "+id {
+					answers++
+				}
+			}
+			if answers != 1 {
+				t.Errorf("%s has %d answers", id, answers)
+			}
+		}
+	}
+}
+
+// A balancer that hears nothing from an endpoint must not wait for a time-out, nor for its weight to grow.
+func TestSilentEndpointIsDroppedAtItsFirstOverdueAttempt(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	r.warm(200, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms})
+	for ep := ""; ep != "d"; {
+		var id string
+		if id, ep = r.call("bill"); ep != "d" {
+			r.wait(50 * ms)
+			r.end(id, deckflow.OK)
+		}
+	}
+	r.wait(200 * ms) // past three times 50 ms; one sample of 3 would leave its weight within twice the smallest
+	if share := r.warm(6, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms}); share["d"] > 0 {
+		t.Error("a silent endpoint got a turn")
+	}
+}
+
+// Retries of three tiers and of clients multiply: each balancer may add a tenth.
+func TestResendsAreBudgeted(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	r.warm(50, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms})
+	before, asked := r.count("send"), 200
+	for range asked {
+		id, ep := r.call("read")
+		for n := 0; ep != "" && n < len(r.to[id]); n++ {
+			r.wait(10 * ms)
+			r.b.Outcome(r.now, deckflow.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: deckflow.Errored, Took: 10 * ms})
+		}
+	}
+	if extra := r.count("send") - before - asked; extra > asked/10+10 || extra < 5 {
+		t.Errorf("%d resends for %d requests that all failed", extra, asked)
+	}
+}
+
+// A quiet caller sees an endpoint every few seconds: what its kind takes counts until it knows better.
+func TestKindSpeaksForEndpointsHardlySampled(t *testing.T) {
+	s := basic()
+	r := newRig(t, s)
+	l, took := deckflow.List{Complete: true}, map[string]time.Duration{}
+	for i := range 20 {
+		e := deckflow.Endpoint{ID: "f" + strconv.Itoa(i), Kind: "fast"}
+		took[e.ID] = 40 * ms
+		if i%2 == 1 {
+			e.ID, e.Kind = "s"+strconv.Itoa(i), "slow"
+			took[e.ID] = 70 * ms
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	r.b.EndpointList(r.now, l)
+	r.warm(60, took)
+	slow := 0
+	for ep, n := range r.warm(60, took) {
+		if ep[0] == 's' {
+			slow += n
+		}
+	}
+	if slow > 20 {
+		t.Errorf("slow machines got %d of 60 turns after three samples each", slow)
+	}
+}
+
+// Rule 4: what a cold endpoint gets stays near its share, however much comes in.
+func TestSendsToAColdEndpointArePaced(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c")
+	took := map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms, "new": 20 * ms}
+	r.warm(300, took)
+	r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "new", Started: r.now}}})
+	share := r.warm(150, took)
+	if share["new"] == 0 || share["new"] > 150/4*2/3 {
+		t.Errorf("a cold endpoint of four got %d of 150 calls", share["new"])
+	}
+}
+
+// An endpoint that reset its connections went down: it is cold when it comes back, whatever the list says.
+func TestResetEndpointComesBackCold(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c")
+	took := map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms}
+	r.warm(300, took)
+	for ep := ""; ep != "c"; {
+		var id string
+		id, ep = r.call("bill")
+		r.wait(20 * ms)
+		if ep == "c" {
+			r.end(id, deckflow.Reset)
+		} else {
+			r.end(id, deckflow.OK)
+		}
+	}
+	r.warm(30, took)
+	if share := r.warm(60, took); share["c"] > 60/3*2/3 {
+		t.Errorf("an endpoint that went down got %d of 60 calls", share["c"])
+	}
+}
+
+// While others wait, a call that cannot be answered in time is refused rather than sent to fail.
+func TestHopelessCallIsRefusedWhileOthersWait(t *testing.T) {
+	r := newRig(t, basic(), "a")
+	r.warm(100, map[string]time.Duration{"a": 200 * ms})
+	for r.count("refuse") == 0 {
+		if _, ep := r.call("read"); ep == "" {
+			break
+		}
+	}
+	r.b.Request(r.now, deckflow.Request{ID: "late", Class: "read", Deadline: r.now + 60*ms})
+	if r.did[len(r.did)-1] != "refuse late" {
+		t.Errorf("last action %q", r.did[len(r.did)-1])
+	}
+}
+
+// An attempt that was called off says nothing of its endpoint, good or bad.
+func TestCanceledAttemptIsNoSample(t *testing.T) {
+	r := newRig(t, basic(), "a", "b")
+	took := map[string]time.Duration{"a": 50 * ms, "b": 50 * ms}
+	r.warm(100, took)
+	off := 0
+	for range 40 { // calls to b alone are called off, early
+		id, ep := r.call("read")
+		if ep == "b" {
+			r.wait(ms)
+			r.b.ClientLeft(r.now, id)
+			r.end(id, deckflow.Canceled)
+			off++
+			continue
+		}
+		r.wait(50 * ms)
+		r.end(id, deckflow.OK)
+	}
+	if off == 0 || off > 24 {
+		t.Errorf("b got %d of 40 turns; called off early, it must not pass for fast, nor lose its turns", off)
+	}
+	if share := r.warm(60, took); share["b"] < 20 {
+		t.Errorf("turns after calls were called off: %v", share)
+	}
+}
+
+// i2b2df6: the room still grew while answers took half as long again as when all was calm.
+func TestRoomStopsGrowingWhileAnswersStretch(t *testing.T) {
+	r := newRig(t, basic(), "a", "b")
+	r.warm(60, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms})
+	due, most, seen := map[string]time.Duration{}, 0, len(r.did)
+	for begun := r.now; r.now < begun+4*time.Second; r.wait(ms) {
+		for _, id := range slices.Sorted(maps.Keys(due)) {
+			if r.now >= due[id] {
+				delete(due, id)
+				r.end(id, deckflow.OK)
+			}
+		}
+		r.call("read")
+		for ; seen < len(r.did); seen++ {
+			if f := strings.Fields(r.did[seen]); f[0] == "send" {
+				due[f[1]] = r.now + 77*ms
+			}
+		}
+		most = max(most, len(due))
+	}
+	if most < 8 || most > 24 {
+		t.Errorf("%d calls out at most; twelve are let in before anything is known", most)
+	}
+}
+
+// The second attempt goes elsewhere, even where the first endpoint is next in turn again.
+func TestResendGoesElsewhere(t *testing.T) {
+	s := basic()
+	s.TiersBelow = 1
+	r := newRig(t, s, "fast", "slow")
+	took := map[string]time.Duration{"fast": 20 * ms, "slow": 30 * ms}
+	r.warm(200, took)
+	again := 0
+	for range 30 {
+		r.warm(11, took) // earns a resend, and moves the turns on
+		id, _ := r.call("read")
+		r.wait(10 * ms)
+		r.end(id, deckflow.Errored)
+		if to := r.to[id]; len(to) == 2 {
+			if again++; to[0] == to[1] {
+				t.Fatalf("%s went to %v", id, to)
+			}
+			r.wait(took[to[1]])
+			r.end(id, deckflow.OK)
+		}
+	}
+	if again < 10 {
+		t.Errorf("%d of 30 calls were sent again", again)
+	}
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,43 @@
+package deckflow_test
+
+import (
+	"fmt"
+	"time"
+
+	"deckflow"
+)
+
+// printer is a host that only says what it was asked to do. A real one would send, set timers and answer clients.
+type printer struct{}
+
+func (printer) Send(id, endpoint string, timeout time.Duration) {
+	fmt.Println("send", id, "to", endpoint)
+}
+func (printer) Cancel(id string, n int)                    { fmt.Println("cancel", id, n) }
+func (printer) Refuse(id string, retryAfter time.Duration) { fmt.Println("refuse", id) }
+func (printer) Fail(id string)                             { fmt.Println("fail", id) }
+func (printer) Probe(endpoint string)                      { fmt.Println("probe", endpoint) }
+func (printer) Subscribe()                                 { fmt.Println("subscribe") }
+func (printer) Timer(at time.Duration)                     {}
+func (printer) Log(line string)                            { fmt.Println(line) }
+
+func Example() {
+	b := deckflow.New(0, deckflow.Settings{
+		Balancers: 1, MaxAttempts: 3, MayCancel: true, Resolution: time.Millisecond,
+		Classes: []deckflow.Class{{Name: "lookup", Effect: deckflow.Safe, Aim: time.Second}},
+	}, printer{})
+	b.EndpointList(0, deckflow.List{Complete: true, Entries: []deckflow.Endpoint{{ID: "10.0.0.1:80"}}})
+
+	now := 5 * time.Millisecond
+	b.Request(now, deckflow.Request{ID: "r1", Class: "lookup", Deadline: now + 2*time.Second})
+	b.Outcome(now+20*time.Millisecond, deckflow.Outcome{ID: "r1", Endpoint: "10.0.0.1:80", Result: deckflow.OK,
+		Took: 20 * time.Millisecond, Final: true})
+
+	b.EndpointList(time.Second, deckflow.List{Entries: []deckflow.Endpoint{{ID: "10.0.0.1:80", State: deckflow.Draining}}})
+	b.Request(time.Second, deckflow.Request{ID: "r2", Class: "lookup", Deadline: 3 * time.Second})
+	b.Timer(2990 * time.Millisecond)
+	// Output:
+	// send r1 to 10.0.0.1:80
+	// full: no endpoint has room, 1 requests wait
+	// refuse r2
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"deckflow"
+)
+
+// settings is the shape of the START message's Config, as far as it is used.
+type settings struct {
+	NInstances int
+	Me         int
+	Tier       int
+	Tiers      []string
+	Lanes      []struct {
+		Name, Semantics, Group string
+		OnTimeUs, WindowUs     int64
+	}
+	Accounts []struct {
+		Name      string
+		QuotaPerS float64
+	}
+	Discovery    string
+	ResolutionUs int64
+	Permissions  struct {
+		MayCancel, MayProbe, RetryAfter bool
+		TryLimit                        int
+		MaxRetryAfterUs                 int64
+	}
+	Report struct {
+		Fields []string
+		How    string
+	}
+	Rules struct {
+		AskWithinUs, ColdUs int64
+		ColdFrom            float64
+	}
+}
+
+func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func parseSettings(text []byte) (deckflow.Settings, error) {
+	var c settings
+	if err := json.Unmarshal(text, &c); err != nil {
+		return deckflow.Settings{}, fmt.Errorf("Config: %w", err)
+	}
+	s := deckflow.Settings{
+		Balancers: c.NInstances, Index: c.Me, Tier: c.Tier, TiersBelow: max(len(c.Tiers)-1-c.Tier, 0),
+		AskWithin: us(c.Rules.AskWithinUs), MaxAttempts: c.Permissions.TryLimit,
+		MayCancel:  c.Permissions.MayCancel,
+		MayProbe:   c.Permissions.MayProbe && c.Report.How != "silent" && slices.Contains(c.Report.Fields, "active"),
+		Resolution: us(c.ResolutionUs), ColdFrom: c.Rules.ColdFrom, ColdFor: us(c.Rules.ColdUs),
+	}
+	if c.Permissions.RetryAfter {
+		s.MaxRetryAfter = us(c.Permissions.MaxRetryAfterUs)
+	}
+	switch c.Discovery {
+	case "automatic", "":
+	case "subscribe":
+		s.MustSubscribe = true
+	default:
+		return s, fmt.Errorf("Config: unknown Discovery %q", c.Discovery)
+	}
+	for _, l := range c.Lanes {
+		k := deckflow.Class{Name: l.Name, Window: us(l.WindowUs), Aim: us(l.OnTimeUs)}
+		switch l.Semantics {
+		case "read_like":
+			k.Effect = deckflow.Safe
+		case "idempotency_key":
+			k.Effect = deckflow.Keyed
+		case "non_idempotent":
+			k.Effect = deckflow.Unsafe
+		default:
+			return s, fmt.Errorf("Config: class %q has unknown Semantics %q", l.Name, l.Semantics)
+		}
+		switch l.Group {
+		case "all", "":
+			k.Group = deckflow.GroupAll
+		case "zone":
+			k.Group = deckflow.GroupZone
+		case "cell":
+			k.Group = deckflow.GroupCell
+		default:
+			return s, fmt.Errorf("Config: class %q has unknown Group %q", l.Name, l.Group)
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	for _, a := range c.Accounts {
+		s.Tenants = append(s.Tenants, deckflow.Tenant{Name: a.Name, Quota: a.QuotaPerS})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,363 @@
+package deckflow
+
+// What a Balancer remembers, the measures read off it, and bookkeeping. No decision is made in this file.
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// endpoint is all that is known of one endpoint.
+type endpoint struct {
+	Endpoint
+	kind         *kind
+	active       bool
+	deficit      float64       // charged turns
+	sum, samples float64       // smoothed samples over the kind's weight, and how many they are worth
+	sampledAt    time.Duration // latest sample
+	answeredAt   time.Duration // latest answer
+	backoff      time.Duration // wait between trials
+	trialAt      time.Duration // next trial, while not active
+	trial        bool          // the single trial is out
+	inFlight     int           // attempts out
+	errors       float64       // share of recent outcomes that are errors
+	coldAt       time.Duration // next send, while cold
+	held         float64       // load that the latest probe reported
+	heldAt       time.Duration
+}
+
+// kind pools what the endpoints of one kind show.
+type kind struct{ w, samples float64 }
+
+func (k *kind) learn(stretch float64) {
+	k.samples++
+	k.w += (stretch - k.w) * max(1/(k.samples+2), kindGain)
+}
+
+// class is what calls of one class usually take.
+type class struct {
+	Class
+	since      time.Duration // first answer
+	samples    float64
+	calm, mean float64 // seconds for a call: when all is calm, and lately
+	at         time.Duration
+}
+
+// tenant is what a tenant may still send within its share.
+type tenant struct {
+	Tenant
+	tokens float64
+	at     time.Duration
+}
+
+// attempt is one Send.
+type attempt struct {
+	e               *endpoint
+	sent, overdueAt time.Duration
+	out             bool // no outcome yet
+	mayRun          bool // ended, and may have run
+	trial           bool
+	overdue         bool // out for longer than expected
+	streams         bool // belongs to the client
+}
+
+// request is all that is known of one request.
+type request struct {
+	Request
+	class    *class
+	arrived  time.Duration
+	giveUp   time.Duration // end of its use, or of the time for an answer
+	attempts []attempt
+	done     bool        // has its final answer
+	held     bool        // waits for room
+	probing  []*endpoint // probes awaited
+	probeEnd time.Duration
+	spot     int // in Balancer.live
+}
+
+// Balancer decides for one caller. New makes one.
+type Balancer struct {
+	s         Settings
+	host      Host
+	rng       *rand.Rand
+	classes   map[string]*class
+	tenants   map[string]*tenant
+	kinds     map[string]*kind
+	byName    map[string]*endpoint
+	endpoints []*endpoint // in order of first mention
+	table     []*endpoint // of them, those that this caller spreads its calls over
+	ready     int         // of them, neither draining nor gone
+	requests  map[string]*request
+	live      []*request // without a final answer
+	waiting   []*request // held, in order of arrival
+	wake      time.Duration
+	askAt     time.Duration // next ask of discovery; 0: none due
+	askGap    time.Duration
+	aim       float64 // mean aim of the classes, in seconds
+	out       int     // attempts out
+	room      float64 // how many may be
+	stretch   float64 // of recent answers
+	cutAt     time.Duration
+	resizedAt time.Duration
+	budget    float64 // resends saved up
+	errors    float64 // share of recent outcomes that are errors
+	held      float64 // mean load that probes report
+	started   time.Duration
+	calls     float64 // requests, faded, as of callsAt
+	callsAt   time.Duration
+	quota     float64 // of all tenants, for this caller alone
+	size      float64 // wanted size of the table
+	logged    map[string]time.Duration
+}
+
+var _ Events = (*Balancer)(nil)
+
+// New returns a Balancer that starts at now with no knowledge but its settings.
+func New(now time.Duration, s Settings, h Host) *Balancer {
+	b := &Balancer{s: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, 1)), started: now, callsAt: now, budget: resendMost / 2, stretch: 1,
+		classes: map[string]*class{}, tenants: map[string]*tenant{}, kinds: map[string]*kind{},
+		byName: map[string]*endpoint{}, requests: map[string]*request{}, logged: map[string]time.Duration{}}
+	for _, c := range s.Classes {
+		b.classes[c.Name] = &class{Class: c}
+		b.aim += c.Aim.Seconds() / float64(len(s.Classes))
+	}
+	for _, t := range s.Tenants {
+		b.quota += t.Quota / float64(max(s.Balancers, 1))
+		b.tenants[t.Name] = &tenant{Tenant: t, tokens: t.Quota / float64(max(s.Balancers, 1)), at: now}
+	}
+	if s.MustSubscribe {
+		h.Subscribe()
+	}
+	return b
+}
+
+// Timer implements Events. Timers cannot be withdrawn: one that is not the next wake is stale.
+func (b *Balancer) Timer(now time.Duration) {
+	if b.wake != 0 && now >= b.wake {
+		b.wake = 0
+		b.tick(now)
+		if b.askAt > 0 {
+			b.wakeAt(b.askAt)
+		}
+		for _, q := range b.live {
+			b.wakeAt(b.lookAt(q))
+		}
+	}
+}
+
+// lookAt is when tick has to look at a request again.
+func (b *Balancer) lookAt(q *request) time.Duration {
+	at := q.giveUp
+	if q.held {
+		at = b.holdEnd(q)
+	}
+	if len(q.probing) > 0 {
+		at = min(at, q.probeEnd)
+	}
+	for i := range q.attempts {
+		if q.attempts[i].out {
+			at = min(at, q.attempts[i].overdueAt)
+		}
+	}
+	return at
+}
+
+// merge applies what discovery says to the endpoints and returns those that are new or have restarted.
+func (b *Balancer) merge(l List) []*endpoint {
+	var started []*endpoint
+	if l.Complete {
+		for _, e := range b.endpoints {
+			e.State = Gone
+		}
+	}
+	for _, in := range l.Entries {
+		e := b.byName[in.ID]
+		if e == nil {
+			e = &endpoint{}
+			b.byName[in.ID], b.endpoints = e, append(b.endpoints, e)
+		}
+		if e.kind == nil || in.Started > e.Started {
+			started = append(started, e)
+		}
+		e.Endpoint = in
+		if e.kind = b.kinds[in.Kind]; e.kind == nil {
+			e.kind = &kind{w: 1}
+			b.kinds[in.Kind] = e.kind
+		}
+	}
+	b.endpoints = slices.DeleteFunc(b.endpoints, func(e *endpoint) bool {
+		if e.State == Gone {
+			delete(b.byName, e.ID)
+		}
+		return e.State == Gone
+	})
+	b.ready = 0
+	for _, e := range b.endpoints {
+		if e.State == Ready {
+			b.ready++
+		}
+	}
+	return started
+}
+
+// actives counts the active endpoints and gives their smallest weight, 1 if there are none, and their lowest
+// deficit.
+func (b *Balancer) actives() (n int, w, deficit float64) {
+	for _, e := range b.table {
+		if !e.active || e.State != Ready {
+			continue
+		}
+		if n == 0 || e.w() < w {
+			w = e.w()
+		}
+		if n == 0 || e.deficit < deficit {
+			deficit = e.deficit
+		}
+		n++
+	}
+	if n == 0 {
+		w = 1
+	}
+	return n, w, deficit
+}
+
+// share is how many endpoints there are for this caller alone. Behind the first tier callers are many and each has
+// little to send: there it is all of them.
+func (b *Balancer) share() float64 {
+	n := float64(len(b.endpoints))
+	if b.s.Tier == 0 {
+		n /= float64(max(b.s.Balancers, 1))
+	}
+	return max(n, 1)
+}
+
+// smallest is the smallest active weight.
+func (b *Balancer) smallest() float64 {
+	_, w, _ := b.actives()
+	return w
+}
+
+// typical is what a call takes when all is calm, in seconds, over the classes seen; 1 before any was.
+func (b *Balancer) typical() float64 {
+	sum, n := 0.0, 0.0
+	for i := range b.s.Classes {
+		c := b.classes[b.s.Classes[i].Name]
+		sum, n = sum+c.calm*c.samples, n+c.samples
+	}
+	if sum <= 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// attempt returns attempt n if it is out, else nil.
+func (q *request) attempt(n int) *attempt {
+	if q == nil || n < 0 || n >= len(q.attempts) || !q.attempts[n].out {
+		return nil
+	}
+	return &q.attempts[n]
+}
+
+// StreamStarted implements Events: the attempt is the client's, and no limit of time runs any more.
+func (b *Balancer) StreamStarted(now time.Duration, id string, n int) {
+	if q := b.requests[id]; q != nil {
+		if a := q.attempt(n); a != nil {
+			a.streams = true
+			b.judge(now, q, a, OK, now-a.sent)
+			b.close(q)
+		}
+	}
+}
+
+// ClientLeft implements Events.
+func (b *Balancer) ClientLeft(now time.Duration, id string) {
+	if q := b.requests[id]; q != nil && !q.done {
+		b.close(q)
+		b.release(now)
+	}
+}
+
+// close takes a request that is answered off the books and calls off what is still out for it.
+func (b *Balancer) close(q *request) {
+	if !q.done {
+		q.done, q.held, q.probing = true, false, nil
+		last := len(b.live) - 1
+		b.live[q.spot] = b.live[last]
+		b.live[q.spot].spot = q.spot
+		b.live[last] = nil
+		b.live = b.live[:last]
+		for i := range q.attempts {
+			if a := &q.attempts[i]; a.out && !a.streams && b.s.MayCancel {
+				b.host.Cancel(q.ID, i)
+			}
+		}
+	}
+	if q.outs() == 0 {
+		delete(b.requests, q.ID)
+	}
+}
+
+// probed tells whether a load report is fresh.
+func (e *endpoint) probed(now time.Duration) bool { return e.heldAt > 0 && now-e.heldAt <= probeFresh }
+
+// outs counts the attempts that are out.
+func (q *request) outs() int {
+	n := 0
+	for i := range q.attempts {
+		if q.attempts[i].out {
+			n++
+		}
+	}
+	return n
+}
+
+// tried tells whether an attempt went to the endpoint.
+func (q *request) tried(e *endpoint) bool {
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.e == e })
+}
+
+// wakeAt makes sure that tick runs at the instant given.
+func (b *Balancer) wakeAt(at time.Duration) {
+	if b.wake == 0 || at < b.wake {
+		b.wake = at
+		b.host.Timer(at)
+	}
+}
+
+// jitter keeps balancers that see the same from acting at the same moment.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*b.rng.Float64()))
+}
+
+// log writes at most one line of a kind every logEvery.
+func (b *Balancer) log(now time.Duration, kind, text string) {
+	if at, ok := b.logged[kind]; !ok || now-at >= logEvery {
+		b.logged[kind] = now
+		b.host.Log(kind + ": " + text)
+	}
+}
+
+// seconds turns a number of seconds into a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// warmth is the least share of its capacity that an endpoint has by now.
+func (b *Balancer) warmth(now time.Duration, e *endpoint) float64 {
+	if e.Started <= 0 || now-e.Started >= b.s.ColdFor {
+		return 1
+	}
+	age := float64(max(now-e.Started, 0)) / float64(b.s.ColdFor)
+	return max(b.s.ColdFrom+(1-b.s.ColdFrom)*age, 0.05)
+}
+
+// turnGap is the time between two calls of this balancer to one endpoint when all get the same.
+func (b *Balancer) turnGap(now time.Duration) time.Duration {
+	return seconds(float64(len(b.table)) / max(b.rate(now), rateLeast))
+}
+
+// rate is how many requests a second come, of late. There was none before the start: that must not count.
+func (b *Balancer) rate(now time.Duration) float64 {
+	faded := func(d time.Duration) float64 { return math.Exp(-d.Seconds() / memory.Seconds()) }
+	return b.calls * faded(now-b.callsAt) / ((1 - faded(now-b.started+time.Second)) * memory.Seconds())
+}
