--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"deckflow"
+)
+
+const (
+	membersPath  = "/catalog/members"
+	maxList      = 4 << 20 // bytes of a list or a line of changes
+	watchSilence = 5 * time.Second
+	retryLeast   = 50 * time.Millisecond
+	retryMost    = time.Second
+	complainGap  = 10 * time.Second // between two log lines about discovery
+)
+
+// Member is an endpoint as discovery lists it.
+type Member struct {
+	ID        string         `json:"id"`
+	Addr      string         `json:"addr"`
+	Zone      string         `json:"zone"`
+	Kind      string         `json:"kind"`
+	Cell      int            `json:"cell"`
+	StateName string         `json:"state"`
+	StartedMs int64          `json:"started_ms"`
+	State     deckflow.State `json:"-"`
+}
+
+// Members is a message from discovery: the whole list, or what has changed.
+type Members struct {
+	Version *int64   `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Member `json:"servers"`
+}
+
+var stateNames = map[string]deckflow.State{"Ready": deckflow.Ready, "Terminating": deckflow.Draining, "Gone": deckflow.Gone}
+
+// parseMembers reads and checks a message from discovery. One bad entry spoils the message.
+func parseMembers(text []byte) (Members, error) {
+	var m Members
+	if err := json.Unmarshal(text, &m); err != nil {
+		return Members{}, err
+	}
+	if m.Version == nil {
+		return Members{}, errors.New("version: missing")
+	}
+	for i := range m.Servers {
+		s := &m.Servers[i]
+		var ok bool
+		if s.State, ok = stateNames[s.StateName]; !ok {
+			return Members{}, fmt.Errorf("state: %q of %q is unknown", s.StateName, s.ID)
+		}
+		if s.ID == "" {
+			return Members{}, errors.New("id: missing")
+		}
+		if s.State == deckflow.Gone {
+			continue
+		}
+		if err := checkAddress("addr", s.Addr); err != nil {
+			return Members{}, err
+		}
+	}
+	return m, nil
+}
+
+// discovery follows the list of endpoints.
+type discovery struct {
+	addr    string
+	onAsk   bool          // only a Subscribe starts a watch, and its end is reported
+	asked   chan struct{} // a Subscribe waits here
+	version *int64        // of the latest message; nil: the whole list is wanted
+	deliver func(Members)
+	failed  func()
+	log     *slog.Logger
+	client  *http.Client
+	silence time.Duration // after which a watch is given up
+	spokeAt time.Time
+}
+
+// subscribe asks for a watch. It does not block.
+func (d *discovery) subscribe() {
+	select {
+	case d.asked <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
+// has changed since.
+func (d *discovery) run(ctx context.Context) {
+	gap := retryLeast
+	for ctx.Err() == nil {
+		if d.onAsk {
+			select {
+			case <-ctx.Done():
+				return
+			case <-d.asked:
+			}
+		}
+		heard, err := d.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		d.complain(err)
+		if d.onAsk {
+			d.failed()
+			continue
+		}
+		if heard {
+			gap = retryLeast
+		}
+		sleep(ctx, time.Duration(float64(gap)*(0.5+rand.Float64()))) // jitter: all sidecars lose their watch together
+		gap = min(2*gap, retryMost)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// complain logs, but not more often than of use.
+func (d *discovery) complain(err error) {
+	if time.Since(d.spokeAt) > complainGap {
+		d.spokeAt = time.Now()
+		d.log.Warn("discovery: watch ended", "err", err)
+	}
+}
+
+// follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything.
+func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(d.silence, cancel)
+	defer watchdog.Stop()
+	if d.version == nil {
+		if err := d.list(ctx); err != nil {
+			return false, err
+		}
+		heard = true
+		watchdog.Reset(d.silence)
+	}
+	body, err := d.get(ctx, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
+	if err != nil {
+		return heard, err
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxList)
+	for lines.Scan() {
+		watchdog.Reset(d.silence)
+		heard = true
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		if err := d.take(line); err != nil {
+			return heard, err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return heard, fmt.Errorf("watch: %w", err)
+	}
+	return heard, errors.New("watch: ended by discovery")
+}
+
+// list gets the whole list once.
+func (d *discovery) list(ctx context.Context) error {
+	body, err := d.get(ctx, "")
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxList))
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	return d.take(text)
+}
+
+func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+membersPath+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("%s%s: %s", membersPath, query, resp.Status)
+	}
+	return resp.Body, nil
+}
+
+// take passes on one message. After one that can't be read, or changes to a list older than ours, something may
+// have been missed: the whole list is asked for anew.
+func (d *discovery) take(text []byte) error {
+	m, err := parseMembers(text)
+	if err == nil && !m.Full && (d.version == nil || *m.Version < *d.version) {
+		err = fmt.Errorf("version: %d does not follow", *m.Version)
+	}
+	if err != nil {
+		d.version = nil
+		return fmt.Errorf("malformed message: %w", err)
+	}
+	d.version = m.Version
+	d.deliver(m)
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,98 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"deckflow"
+)
+
+const (
+	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
+	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
+	drainMost        = 20 * time.Second       // no deadline is longer
+)
+
+// Sidecar is a sidecar that listens.
+type Sidecar struct {
+	server    *http.Server
+	listener  net.Listener
+	loop      *loop
+	upstream  *upstream
+	discovery *discovery
+}
+
+// Start wires the parts and opens the listener; Serve does the work.
+func Start(c Config, log *slog.Logger) (*Sidecar, error) {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	settings := c.Settings.Settings
+	settings.MayProbe = false // probing endpoints is ruled out
+	each := (c.Limits.Sockets - otherDescriptors) / 2
+	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, max(each, 8))
+	d := &discovery{addr: c.Discovery, onAsk: settings.MustSubscribe, asked: make(chan struct{}, 1), version: c.Known.Version,
+		log: log, silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	l := newLoop(settings, up, d.subscribe, log)
+	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
+	d.failed = func() {
+		l.post(func(now time.Duration) { l.balancer.EndpointList(now, deckflow.List{Failed: true}) })
+	}
+	known := c.Known
+	known.Full = true // the list as it was last had, and the first that the module hears
+	l.list(l.clock.now(), known)
+
+	s := &server{loop: l, keyed: map[string]bool{}, log: log,
+		conns: connTable{most: max(each, 8), idle: map[net.Conn]time.Time{}, open: map[net.Conn]bool{}}}
+	for _, class := range settings.Classes {
+		s.keyed[class.Name] = class.Effect == deckflow.Keyed
+	}
+	return &Sidecar{server: s.http(), listener: listener, loop: l, upstream: up, discovery: d}, nil
+}
+
+// Addr is where the sidecar listens.
+func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
+
+// Serve serves until ctx ends and then until all that was taken has been answered.
+func (s *Sidecar) Serve(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){s.loop.run, s.upstream.run, s.discovery.run} {
+		parts.Go(func() { run(work) })
+	}
+	defer parts.Wait()
+	defer stop()
+
+	served := make(chan error, 1)
+	go func() { served <- s.server.Serve(s.listener) }()
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	return s.drain(served)
+}
+
+// drain ends the callers' side. It guards against losing what the kernel has accepted: for a while new connections
+// are taken as before; then answers say Connection: close, and idle connections are closed.
+func (s *Sidecar) drain(served <-chan error) error {
+	time.Sleep(acceptAfterTerm)
+	s.server.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), drainMost)
+	defer cancel()
+	err := s.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) { // only connections that never brought a request are left
+		err = s.server.Close()
+	}
+	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
+		err = e
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sidecar/upstream.go
@@ -0,0 +1,357 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"deckflow"
+)
+
+const (
+	maxBody      = 64 << 10 // of a request or an answer
+	maxHead      = 16 << 10
+	maxInterim   = 8 // 1xx answers ahead of the one that counts
+	sweepEvery   = time.Second
+	defaultIdle  = 15 * time.Second
+	defaultDial  = 250 * time.Millisecond
+	idleShare    = 0.9 // of the endpoint's idle limit, after which a connection is no longer used
+	declined     = "Srv-Declined"
+	deadlineName = "Req-Deadline-Ms"
+)
+
+// message is a request as it goes on to endpoints.
+type message struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// answer is an endpoint's whole 200 answer.
+type answer struct {
+	contentType string
+	body        []byte
+}
+
+// upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
+// again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
+type upstream struct {
+	idleFor, dialTimeout time.Duration
+	most                 int // connections open at once
+
+	mu    sync.Mutex
+	open  int
+	pools map[string]*pool // by endpoint id
+}
+
+// pool holds the idle connections to one endpoint, the one used last at the end.
+type pool struct {
+	addr string
+	keep bool // connections are worth keeping
+	idle []*conn
+}
+
+// conn is one connection; it carries one attempt at a time.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	limit  *io.LimitedReader // bounds what one answer may bring
+	read   *bufio.Reader
+	pool   *pool
+	addr   string
+	idleAt time.Time
+}
+
+func newUpstream(idle, dial time.Duration, most int) *upstream {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	if dial <= 0 {
+		dial = defaultDial
+	}
+	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, most: most, pools: map[string]*pool{}}
+}
+
+// setMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
+// to an endpoint that takes nothing new, are closed.
+func (u *upstream) setMember(id, addr string, keep bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pools[id]
+	if p == nil {
+		p = &pool{}
+		u.pools[id] = p
+	}
+	if p.addr != addr || !keep {
+		u.drain(p)
+	}
+	p.addr, p.keep = addr, keep
+}
+
+// removeMember forgets an endpoint.
+func (u *upstream) removeMember(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pools[id]; p != nil {
+		u.drain(p)
+		p.keep = false
+		delete(u.pools, id)
+	}
+}
+
+// drain closes a pool's idle connections. u.mu is held.
+func (u *upstream) drain(p *pool) {
+	for _, c := range p.idle {
+		u.closeLocked(c)
+	}
+	p.idle = nil
+}
+
+func (u *upstream) closeLocked(c *conn) {
+	c.Close()
+	u.open--
+}
+
+func (u *upstream) discard(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closeLocked(c)
+}
+
+// run closes idle connections that have died or stood too long, until ctx ends; then it closes all idle ones.
+func (u *upstream) run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			u.sweep(func(*conn) bool { return false })
+			return
+		case now := <-tick.C:
+			u.sweep(func(c *conn) bool { return now.Sub(c.idleAt) < u.idleFor && c.quiet() })
+		}
+	}
+}
+
+func (u *upstream) sweep(keep func(*conn) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, p := range u.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
+			if keep(c) {
+				kept = append(kept, c)
+			} else {
+				u.closeLocked(c)
+			}
+		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
+	}
+}
+
+// quiet tells whether nothing has come on an idle connection: no end, no break, no bytes that nobody asked for. It
+// guards against sending on a connection that the endpoint has closed, which would end as a reset.
+func (c *conn) quiet() bool {
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// take returns an idle connection to the endpoint, or else dials one.
+func (u *upstream) take(ctx context.Context, id string) (*conn, error) {
+	p, addr, c, err := u.reserve(id)
+	if c != nil || err != nil {
+		return c, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, u.dialTimeout)
+	defer cancel()
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err == nil {
+		if c, err = newConn(nc, p, addr); err == nil {
+			return c, nil
+		}
+		nc.Close()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.open--
+	return nil, err
+}
+
+func newConn(nc net.Conn, p *pool, addr string) (*conn, error) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	limit := &io.LimitedReader{R: nc}
+	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr}, nil
+}
+
+// reserve takes the idle connection used last, or the right to open one to the address returned.
+func (u *upstream) reserve(id string) (*pool, string, *conn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pools[id]
+	if p == nil {
+		return nil, "", nil, errors.New("no address is known")
+	}
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		if time.Since(c.idleAt) < u.idleFor && c.quiet() {
+			return p, p.addr, c, nil
+		}
+		u.closeLocked(c)
+	}
+	if u.open >= u.most && !u.evict() {
+		return nil, "", nil, errors.New("all descriptors for endpoints are in use")
+	}
+	u.open++
+	return p, p.addr, nil, nil
+}
+
+// evict closes the connection that has been idle longest, wherever it leads. u.mu is held.
+func (u *upstream) evict() bool {
+	var oldest *pool
+	for _, p := range u.pools {
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
+			oldest = p
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	u.closeLocked(oldest.idle[0])
+	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	return true
+}
+
+// giveBack keeps a connection for the next attempt, if the endpoint is still where it leads.
+func (u *upstream) giveBack(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !c.pool.keep || c.pool.addr != c.addr {
+		u.closeLocked(c)
+		return
+	}
+	c.idleAt = time.Now()
+	c.pool.idle = append(c.pool.idle, c)
+}
+
+// attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
+// attempt returns: no second attempt can be out beside this one.
+func (u *upstream) attempt(ctx context.Context, id string, m *message) (deckflow.Result, answer) {
+	c, err := u.take(ctx, id)
+	if err != nil {
+		return unlessCanceled(ctx, deckflow.ConnectFailed), answer{}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	result, a, reusable := c.exchange(ctx, m)
+	if stop() && reusable {
+		u.giveBack(c)
+	} else {
+		u.discard(c)
+	}
+	return result, a
+}
+
+// unlessCanceled is r, or Canceled if the attempt was called off.
+func unlessCanceled(ctx context.Context, r deckflow.Result) deckflow.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return deckflow.Canceled
+	}
+	return r
+}
+
+// broken is the outcome of an attempt whose last byte was written and whose whole answer has not come.
+func broken(ctx context.Context) deckflow.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return deckflow.TimedOut
+	}
+	return unlessCanceled(ctx, deckflow.Reset)
+}
+
+// exchange writes the request and reads the whole answer.
+func (c *conn) exchange(ctx context.Context, m *message) (r deckflow.Result, a answer, reusable bool) {
+	text, err := m.bytes(ctx)
+	if err != nil {
+		return deckflow.NotSent, answer{}, false
+	}
+	// An endpoint begins a request when its last byte has come: one not written whole has not run.
+	if n, _ := c.Write(text); n < len(text) {
+		return unlessCanceled(ctx, deckflow.ConnectFailed), answer{}, false
+	}
+	resp, body, err := c.readAnswer(m.method)
+	if err != nil {
+		return broken(ctx), answer{}, false
+	}
+	reusable = !resp.Close && c.read.Buffered() == 0
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return deckflow.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
+	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
+		return deckflow.Full, answer{}, reusable
+	}
+	return deckflow.Errored, answer{}, reusable
+}
+
+func isUnavailable(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole.
+func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
+	c.limit.N = maxHead + maxBody
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		defer resp.Body.Close()
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, nil, errors.New("an answer of unknown length")
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		if err == nil && len(body) > maxBody {
+			err = errors.New("the answer is too long")
+		}
+		return resp, body, err
+	}
+	return nil, nil, errors.New("too many interim answers")
+}
+
+// bytes is the request as written to an endpoint. Its deadline says how long this sidecar waits.
+func (m *message) bytes(ctx context.Context) ([]byte, error) {
+	header := m.header.Clone()
+	if at, ok := ctx.Deadline(); ok {
+		header.Set(deadlineName, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+	}
+	r := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header, ContentLength: int64(len(m.body))}
+	if len(m.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(m.body))
+	}
+	var text bytes.Buffer
+	err := r.Write(&text)
+	return text.Bytes(), err
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -26,9 +26,9 @@
 	Discovery    string
 	ResolutionUs int64
 	Permissions  struct {
-		MayCancel, MayProbe, RetryAfter bool
-		TryLimit                        int
-		MaxRetryAfterUs                 int64
+		MayCancel, MayProbe, RetryAfter            bool
+		TryLimit                                   int
+		MaxRetryAfterUs, ConnIdleUs, DialTimeoutUs int64
 	}
 	Report struct {
 		Fields []string
@@ -42,12 +42,21 @@
 
 func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func parseSettings(text []byte) (deckflow.Settings, error) {
+// Settings is what the object says to a host: the module's part, and what a host with connections of its own needs.
+type Settings struct {
+	deckflow.Settings
+	ConnIdle    time.Duration // an endpoint closes a connection that has been idle for this long; 0: not told
+	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
+}
+
+// ParseSettings reads the settings object, which the simulator and the deployment give in the same form.
+func ParseSettings(text []byte) (Settings, error) {
 	var c settings
 	if err := json.Unmarshal(text, &c); err != nil {
-		return deckflow.Settings{}, fmt.Errorf("Config: %w", err)
+		return Settings{}, fmt.Errorf("Config: %w", err)
 	}
-	s := deckflow.Settings{
+	s := Settings{ConnIdle: us(c.Permissions.ConnIdleUs), DialTimeout: us(c.Permissions.DialTimeoutUs)}
+	s.Settings = deckflow.Settings{
 		Balancers: c.NInstances, Index: c.Me, Tier: c.Tier, TiersBelow: max(len(c.Tiers)-1-c.Tier, 0),
 		AskWithin: us(c.Rules.AskWithinUs), MaxAttempts: c.Permissions.TryLimit,
 		MayCancel:  c.Permissions.MayCancel,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -154,12 +154,12 @@
 		if !ok {
 			return errors.New("START without Config")
 		}
-		s, err := parseSettings(config)
+		s, err := ParseSettings(config)
 		if err != nil {
 			return err
 		}
 		s.Seed = seed
-		return h.Start(r.instance, s)
+		return h.Start(r.instance, s.Settings)
 	case "SHUTDOWN":
 		return h.Stop(r.instance)
 	}
