--- a/balancer.go
+++ b/balancer.go
@@ -1,4 +1,4 @@
-package deckflow
+package tuliprock
 
 // The decisions. The interface is in api.go, the state in state.go; the sources are told in docs/design.md.
 // A weight w is a stretch: latency over what calls like it take here when all is calm.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package deckflow_test
+package tuliprock_test
 
 import (
 	"fmt"
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 // rig drives a balancer by hand and keeps what it asks for.
 type rig struct {
 	t      *testing.T
 	now    time.Duration
-	b      *deckflow.Balancer
+	b      *tuliprock.Balancer
 	did    []string // all actions but timers, in order
 	to     map[string][]string
 	sentAt map[string]time.Duration
@@ -37,20 +37,20 @@
 func (r *rig) Timer(at time.Duration)            { r.timer = append(r.timer, at) }
 func (r *rig) Log(string)                        {}
 
-func basic() deckflow.Settings {
-	return deckflow.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
-		ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: []deckflow.Class{
-			{Name: "read", Effect: deckflow.Safe, Aim: 2 * time.Second},
-			{Name: "bill", Effect: deckflow.Unsafe, Aim: 2 * time.Second}}}
+func basic() tuliprock.Settings {
+	return tuliprock.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
+		ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: []tuliprock.Class{
+			{Name: "read", Effect: tuliprock.Safe, Aim: 2 * time.Second},
+			{Name: "bill", Effect: tuliprock.Unsafe, Aim: 2 * time.Second}}}
 }
 
-func newRig(t *testing.T, s deckflow.Settings, endpoints ...string) *rig {
+func newRig(t *testing.T, s tuliprock.Settings, endpoints ...string) *rig {
 	r := &rig{t: t, now: 100 * time.Second, to: map[string][]string{}, sentAt: map[string]time.Duration{}}
 	s.Seed = 7
-	r.b = deckflow.New(r.now, s, r)
-	l := deckflow.List{Complete: true}
+	r.b = tuliprock.New(r.now, s, r)
+	l := tuliprock.List{Complete: true}
 	for _, id := range endpoints {
-		l.Entries = append(l.Entries, deckflow.Endpoint{ID: id})
+		l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id})
 	}
 	r.b.EndpointList(r.now, l)
 	return r
@@ -86,15 +86,15 @@
 func (r *rig) ask(class, tenant string) string {
 	r.n++
 	id := "r" + strconv.Itoa(r.n)
-	r.b.Request(r.now, deckflow.Request{ID: id, Class: class, Tenant: tenant, Deadline: r.now + 5*time.Second})
+	r.b.Request(r.now, tuliprock.Request{ID: id, Class: class, Tenant: tenant, Deadline: r.now + 5*time.Second})
 	return id
 }
 
 // end reports the outcome of the latest attempt of a request.
-func (r *rig) end(id string, result deckflow.Result) {
+func (r *rig) end(id string, result tuliprock.Result) {
 	n := len(r.to[id]) - 1
-	r.b.Outcome(r.now, deckflow.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: result, Took: r.now - r.sentAt[id],
-		Final: result == deckflow.OK})
+	r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: result, Took: r.now - r.sentAt[id],
+		Final: result == tuliprock.OK})
 }
 
 func (r *rig) count(prefix string) int {
@@ -114,7 +114,7 @@
 		id, ep := r.call("read")
 		share[ep]++
 		r.wait(took[ep])
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	return share
 }
@@ -184,7 +184,7 @@
 			continue
 		}
 		r.wait(20 * ms)
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	if trials := int((r.now - start) / (500 * ms)); caught > 5+trials {
 		t.Errorf("a hung endpoint caught %d of 200 calls", caught)
@@ -197,7 +197,7 @@
 		r.warm(50, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms})
 		id, _ := r.call(class)
 		r.wait(time.Second)
-		r.end(id, deckflow.Reset)
+		r.end(id, tuliprock.Reset)
 		if n := len(r.to[id]); n != want {
 			t.Errorf("a broken %s was sent %d times, want %d", class, n, want)
 		}
@@ -212,13 +212,13 @@
 		id, ep := r.call("read")
 		if ep == "down" {
 			tries = append(tries, r.now)
-			r.end(id, deckflow.ConnectFailed)
+			r.end(id, tuliprock.ConnectFailed)
 			if n := len(r.to[id]); n != 2 || r.to[id][1] == "down" {
 				t.Fatalf("after a failed connect the call went to %v", r.to[id])
 			}
 		}
 		r.wait(20 * ms)
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	if len(tries) < 4 || len(tries) > 12 {
 		t.Errorf("a dead endpoint was tried %d times in 20 s", len(tries))
@@ -233,12 +233,12 @@
 func TestWithNoneActiveTheSoonestTrialIsTaken(t *testing.T) {
 	r := newRig(t, basic(), "only")
 	id, _ := r.call("read")
-	r.end(id, deckflow.ConnectFailed) // dropped, and the resend is the none-active branch
+	r.end(id, tuliprock.ConnectFailed) // dropped, and the resend is the none-active branch
 	if len(r.to[id]) != 2 {
 		t.Fatalf("actions %v", r.did)
 	}
 	r.wait(30 * ms)
-	r.end(id, deckflow.OK)
+	r.end(id, tuliprock.OK)
 	if _, ep := r.call("read"); ep != "only" {
 		t.Error("a trial that succeeded with none active did not readmit its endpoint")
 	}
@@ -260,7 +260,7 @@
 			slow++
 		}
 		r.wait(took[ep])
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 		r.wait(500*ms - min(took[ep], 400*ms))
 	}
 	if slow > 14 {
@@ -285,7 +285,7 @@
 			id, ep := r.call("read")
 			own[ep] = true
 			r.wait(50 * ms)
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 			r.wait(950 * ms)
 		}
 		for ep := range own {
@@ -325,13 +325,13 @@
 	for perSecond, want := range map[int]bool{4: false, 16: true} {
 		s := basic()
 		s.Balancers = 10
-		s.Tenants = []deckflow.Tenant{{Name: "greedy", Quota: 20}, {Name: "quiet", Quota: 60}} // 8 a second here
+		s.Tenants = []tuliprock.Tenant{{Name: "greedy", Quota: 20}, {Name: "quiet", Quota: 60}} // 8 a second here
 		r := newRig(t, s, "a", "b", "c")
 		for range 10 * perSecond {
 			id := r.ask("read", "greedy")
 			if len(r.to[id]) > 0 {
 				r.wait(10 * ms)
-				r.end(id, deckflow.OK)
+				r.end(id, tuliprock.OK)
 			}
 			r.wait(time.Second/time.Duration(perSecond) - 10*ms)
 		}
@@ -355,7 +355,7 @@
 			id, ep := r.call("read")
 			share[ep[:4]]++
 			r.wait(took[ep])
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 		}
 		if got := share["fast"] / share["slow"]; got < want[0] || got > want[1] {
 			t.Errorf("with %d tiers below, fast ones get %.2f times the calls of slow ones", below, got)
@@ -380,7 +380,7 @@
 			r.wait(10 * ms)
 			for _, id := range slices.Sorted(maps.Keys(due)) {
 				if r.now >= due[id] {
-					r.end(id, deckflow.OK)
+					r.end(id, tuliprock.OK)
 					delete(due, id)
 				}
 			}
@@ -406,17 +406,17 @@
 	for c := range callers {
 		s := basic()
 		r := newRig(t, s, names...)
-		r.b = deckflow.New(r.now, deckflow.Settings{Seed: uint64(c), Balancers: callers, Index: c, MaxAttempts: 4, Resolution: ms,
+		r.b = tuliprock.New(r.now, tuliprock.Settings{Seed: uint64(c), Balancers: callers, Index: c, MaxAttempts: 4, Resolution: ms,
 			ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: s.Classes}, r)
-		l := deckflow.List{Complete: true}
+		l := tuliprock.List{Complete: true}
 		for _, id := range names {
-			l.Entries = append(l.Entries, deckflow.Endpoint{ID: id})
+			l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id})
 		}
 		r.b.EndpointList(r.now, l)
 		step := func() string {
 			id, ep := r.call("read")
 			r.wait(50 * ms)
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 			r.wait(time.Second/time.Duration(perSecond) - 50*ms)
 			return ep
 		}
@@ -424,7 +424,7 @@
 			step()
 		}
 		start := r.now
-		r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "cold", Started: start}}})
+		r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "cold", Started: start}}})
 		for r.now < start+11*time.Second {
 			if at := (r.now - start) / time.Second; step() == "cold" {
 				got[at]++
@@ -459,7 +459,7 @@
 				if id := "r" + strconv.Itoa(j); len(r.to[id]) == 1 && !slices.Contains(out, id) && !slices.Contains(r.did, "refuse "+id) &&
 					!slices.Contains(r.did, "fail "+id) {
 					out = append(out, id)
-					r.end(id, deckflow.OK)
+					r.end(id, tuliprock.OK)
 					served[class[id]]++
 					break
 				}
@@ -481,7 +481,7 @@
 		id, ep := r.call("read")
 		share[ep]++
 		r.wait(50 * ms)
-		r.end(id, deckflow.Errored)
+		r.end(id, tuliprock.Errored)
 	}
 	for _, ep := range []string{"a", "b", "c", "d"} {
 		if share[ep] < 14 {
@@ -506,11 +506,11 @@
 		if ep == "broken" {
 			broken++
 			r.wait(2 * ms)
-			r.end(id, deckflow.Errored)
+			r.end(id, tuliprock.Errored)
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	if broken > 30 {
 		t.Errorf("a broken endpoint got %d of 400 calls", broken)
@@ -519,12 +519,12 @@
 
 func TestOverShareIsRefusedOnlyWhenRoomIsShort(t *testing.T) {
 	s := basic()
-	s.Tenants = []deckflow.Tenant{{Name: "big", Quota: 10}, {Name: "small", Quota: 1000}}
+	s.Tenants = []tuliprock.Tenant{{Name: "big", Quota: 10}, {Name: "small", Quota: 1000}}
 	r := newRig(t, s, "a", "b")
 	ask := func(tenant string) string {
 		r.n++
 		id := "r" + strconv.Itoa(r.n)
-		r.b.Request(r.now, deckflow.Request{ID: id, Class: "read", Tenant: tenant, Deadline: r.now + 5*time.Second})
+		r.b.Request(r.now, tuliprock.Request{ID: id, Class: "read", Tenant: tenant, Deadline: r.now + 5*time.Second})
 		return id
 	}
 	for range 9 {
@@ -572,7 +572,7 @@
 					if len(queue[ep]) > 0 {
 						id := queue[ep][0]
 						queue[ep] = queue[ep][1:]
-						r.end(id, deckflow.OK)
+						r.end(id, tuliprock.OK)
 						answered++
 					}
 				}
@@ -641,7 +641,7 @@
 		for _, id := range slices.Sorted(maps.Keys(due)) {
 			if r.now >= due[id] {
 				delete(due, id)
-				r.end(id, deckflow.OK)
+				r.end(id, tuliprock.OK)
 			}
 		}
 		for asked := 0; len(due)+asked < 22; asked++ {
@@ -682,7 +682,7 @@
 		t.Errorf("actions %v", r.did)
 	}
 	id, _ = r.call("bill")
-	r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "new"}}})
+	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new"}}})
 	if len(r.to[id]) != 1 {
 		t.Error("a held request did not go to the first endpoint that came")
 	}
@@ -697,7 +697,7 @@
 		t.Fatalf("actions %v", r.did)
 	}
 	for ep, held := range map[string]float64{"a": 4, "b": 0, "c": 4} {
-		r.b.Probed(r.now, deckflow.ProbeResult{Endpoint: ep, Load: deckflow.Load{Known: true, Held: held}})
+		r.b.Probed(r.now, tuliprock.ProbeResult{Endpoint: ep, Load: tuliprock.Load{Known: true, Held: held}})
 	}
 	if got := r.to["r1"]; !slices.Equal(got, []string{"b"}) {
 		t.Errorf("sent to %v", got)
@@ -725,20 +725,20 @@
 			if !ok {
 				continue
 			}
-			load := deckflow.Load{Known: true, Held: 1}
+			load := tuliprock.Load{Known: true, Held: 1}
 			if probes++; strings.HasPrefix(ep, "hung") {
 				load.Held = 8
 				toHung++
 			}
-			r.b.Probed(r.now, deckflow.ProbeResult{Endpoint: ep, Load: load})
+			r.b.Probed(r.now, tuliprock.ProbeResult{Endpoint: ep, Load: load})
 		}
 		if ep := r.to[id][0]; strings.HasPrefix(ep, "hung") {
 			picks++
-			r.end(id, deckflow.Full)
+			r.end(id, tuliprock.Full)
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	if toHung > probes/4 {
 		t.Errorf("%d of %d probes went to three crowded endpoints of eight", toHung, probes)
@@ -752,7 +752,7 @@
 	s := basic()
 	s.MustSubscribe, s.AskWithin = true, 10*time.Second
 	r := newRig(t, s, "a")
-	r.b.EndpointList(r.now, deckflow.List{Failed: true})
+	r.b.EndpointList(r.now, tuliprock.List{Failed: true})
 	r.wait(5 * time.Second)
 	if n := r.count("subscribe"); n != 2 {
 		t.Errorf("asked %d times", n)
@@ -761,8 +761,8 @@
 
 // TestOddSettingsDoNoHarm plays with settings that no site has.
 func TestOddSettingsDoNoHarm(t *testing.T) {
-	for _, s := range []deckflow.Settings{{}, {MayProbe: true}, {Balancers: -1, MaxAttempts: -1,
-		Classes: []deckflow.Class{{}}, Tenants: []deckflow.Tenant{{}}}} {
+	for _, s := range []tuliprock.Settings{{}, {MayProbe: true}, {Balancers: -1, MaxAttempts: -1,
+		Classes: []tuliprock.Class{{}}, Tenants: []tuliprock.Tenant{{}}}} {
 		r := newRig(t, s, "a", "b")
 		for range 20 {
 			r.call("")
@@ -793,7 +793,7 @@
 		var id string
 		if id, ep = r.call("bill"); ep != "d" {
 			r.wait(50 * ms)
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 		}
 	}
 	r.wait(200 * ms) // past three times 50 ms; one sample of 3 would leave its weight within twice the smallest
@@ -811,7 +811,7 @@
 		id, ep := r.call("read")
 		for n := 0; ep != "" && n < len(r.to[id]); n++ {
 			r.wait(10 * ms)
-			r.b.Outcome(r.now, deckflow.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: deckflow.Errored, Took: 10 * ms})
+			r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: tuliprock.Errored, Took: 10 * ms})
 		}
 	}
 	if extra := r.count("send") - before - asked; extra > asked/10+10 || extra < 5 {
@@ -823,9 +823,9 @@
 func TestKindSpeaksForEndpointsHardlySampled(t *testing.T) {
 	s := basic()
 	r := newRig(t, s)
-	l, took := deckflow.List{Complete: true}, map[string]time.Duration{}
+	l, took := tuliprock.List{Complete: true}, map[string]time.Duration{}
 	for i := range 20 {
-		e := deckflow.Endpoint{ID: "f" + strconv.Itoa(i), Kind: "fast"}
+		e := tuliprock.Endpoint{ID: "f" + strconv.Itoa(i), Kind: "fast"}
 		took[e.ID] = 40 * ms
 		if i%2 == 1 {
 			e.ID, e.Kind = "s"+strconv.Itoa(i), "slow"
@@ -851,7 +851,7 @@
 	r := newRig(t, basic(), "a", "b", "c")
 	took := map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms, "new": 20 * ms}
 	r.warm(300, took)
-	r.b.EndpointList(r.now, deckflow.List{Entries: []deckflow.Endpoint{{ID: "new", Started: r.now}}})
+	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new", Started: r.now}}})
 	share := r.warm(150, took)
 	if share["new"] == 0 || share["new"] > 150/4*2/3 {
 		t.Errorf("a cold endpoint of four got %d of 150 calls", share["new"])
@@ -868,9 +868,9 @@
 		id, ep = r.call("bill")
 		r.wait(20 * ms)
 		if ep == "c" {
-			r.end(id, deckflow.Reset)
+			r.end(id, tuliprock.Reset)
 		} else {
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 		}
 	}
 	r.warm(30, took)
@@ -888,7 +888,7 @@
 			break
 		}
 	}
-	r.b.Request(r.now, deckflow.Request{ID: "late", Class: "read", Deadline: r.now + 60*ms})
+	r.b.Request(r.now, tuliprock.Request{ID: "late", Class: "read", Deadline: r.now + 60*ms})
 	if r.did[len(r.did)-1] != "refuse late" {
 		t.Errorf("last action %q", r.did[len(r.did)-1])
 	}
@@ -905,12 +905,12 @@
 		if ep == "b" {
 			r.wait(ms)
 			r.b.ClientLeft(r.now, id)
-			r.end(id, deckflow.Canceled)
+			r.end(id, tuliprock.Canceled)
 			off++
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, deckflow.OK)
+		r.end(id, tuliprock.OK)
 	}
 	if off == 0 || off > 24 {
 		t.Errorf("b got %d of 40 turns; called off early, it must not pass for fast, nor lose its turns", off)
@@ -929,7 +929,7 @@
 		for _, id := range slices.Sorted(maps.Keys(due)) {
 			if r.now >= due[id] {
 				delete(due, id)
-				r.end(id, deckflow.OK)
+				r.end(id, tuliprock.OK)
 			}
 		}
 		r.call("read")
@@ -957,13 +957,13 @@
 		r.warm(11, took) // earns a resend, and moves the turns on
 		id, _ := r.call("read")
 		r.wait(10 * ms)
-		r.end(id, deckflow.Errored)
+		r.end(id, tuliprock.Errored)
 		if to := r.to[id]; len(to) == 2 {
 			if again++; to[0] == to[1] {
 				t.Fatalf("%s went to %v", id, to)
 			}
 			r.wait(took[to[1]])
-			r.end(id, deckflow.OK)
+			r.end(id, tuliprock.OK)
 		}
 	}
 	if again < 10 {
--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"deckflow/internal/sidecar"
+	"tuliprock/internal/sidecar"
 )
 
 const (
--- a/deploy_test.go
+++ b/deploy_test.go
@@ -1,4 +1,4 @@
-package deckflow_test
+package tuliprock_test
 
 import (
 	"os"
--- a/example_test.go
+++ b/example_test.go
@@ -1,10 +1,10 @@
-package deckflow_test
+package tuliprock_test
 
 import (
 	"fmt"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 // printer is a host that only says what it was asked to do. A real one would send, set timers and answer clients.
@@ -22,19 +22,19 @@
 func (printer) Log(line string)                            { fmt.Println(line) }
 
 func Example() {
-	b := deckflow.New(0, deckflow.Settings{
+	b := tuliprock.New(0, tuliprock.Settings{
 		Balancers: 1, MaxAttempts: 3, MayCancel: true, Resolution: time.Millisecond,
-		Classes: []deckflow.Class{{Name: "lookup", Effect: deckflow.Safe, Aim: time.Second}},
+		Classes: []tuliprock.Class{{Name: "lookup", Effect: tuliprock.Safe, Aim: time.Second}},
 	}, printer{})
-	b.EndpointList(0, deckflow.List{Complete: true, Entries: []deckflow.Endpoint{{ID: "10.0.0.1:80"}}})
+	b.EndpointList(0, tuliprock.List{Complete: true, Entries: []tuliprock.Endpoint{{ID: "10.0.0.1:80"}}})
 
 	now := 5 * time.Millisecond
-	b.Request(now, deckflow.Request{ID: "r1", Class: "lookup", Deadline: now + 2*time.Second})
-	b.Outcome(now+20*time.Millisecond, deckflow.Outcome{ID: "r1", Endpoint: "10.0.0.1:80", Result: deckflow.OK,
+	b.Request(now, tuliprock.Request{ID: "r1", Class: "lookup", Deadline: now + 2*time.Second})
+	b.Outcome(now+20*time.Millisecond, tuliprock.Outcome{ID: "r1", Endpoint: "10.0.0.1:80", Result: tuliprock.OK,
 		Took: 20 * time.Millisecond, Final: true})
 
-	b.EndpointList(time.Second, deckflow.List{Entries: []deckflow.Endpoint{{ID: "10.0.0.1:80", State: deckflow.Draining}}})
-	b.Request(time.Second, deckflow.Request{ID: "r2", Class: "lookup", Deadline: 3 * time.Second})
+	b.EndpointList(time.Second, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "10.0.0.1:80", State: tuliprock.Draining}}})
+	b.Request(time.Second, tuliprock.Request{ID: "r2", Class: "lookup", Deadline: 3 * time.Second})
 	b.Timer(2990 * time.Millisecond)
 	// Output:
 	// send r1 to 10.0.0.1:80
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"deckflow/internal/wire"
+	"tuliprock/internal/wire"
 )
 
 // What holds where the configuration gives no limits, and the least that a sidecar can work with.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 const (
@@ -28,14 +28,14 @@
 
 // Member is an endpoint as discovery lists it.
 type Member struct {
-	ID        string         `json:"id"`
-	Addr      string         `json:"addr"`
-	Zone      string         `json:"zone"`
-	Kind      string         `json:"kind"`
-	Cell      int            `json:"cell"`
-	StateName string         `json:"state"`
-	StartedMs int64          `json:"started_ms"`
-	State     deckflow.State `json:"-"`
+	ID        string          `json:"id"`
+	Addr      string          `json:"addr"`
+	Zone      string          `json:"zone"`
+	Kind      string          `json:"kind"`
+	Cell      int             `json:"cell"`
+	StateName string          `json:"state"`
+	StartedMs int64           `json:"started_ms"`
+	State     tuliprock.State `json:"-"`
 }
 
 // Members is a message from discovery: the whole list, or what has changed.
@@ -45,7 +45,7 @@
 	Servers []Member `json:"servers"`
 }
 
-var stateNames = map[string]deckflow.State{"Ready": deckflow.Ready, "Terminating": deckflow.Draining, "Gone": deckflow.Gone}
+var stateNames = map[string]tuliprock.State{"Ready": tuliprock.Ready, "Terminating": tuliprock.Draining, "Gone": tuliprock.Gone}
 
 // parseMembers reads and checks a message from discovery. One bad entry spoils the message.
 func parseMembers(text []byte) (Members, error) {
@@ -65,7 +65,7 @@
 		if s.ID == "" {
 			return Members{}, errors.New("id: missing")
 		}
-		if s.State == deckflow.Gone {
+		if s.State == tuliprock.Gone {
 			continue
 		}
 		if err := checkAddress("addr", s.Addr); err != nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 // clock gives instants: a monotonic reading since the start, well above zero, so that 0 means long ago and starts
@@ -35,7 +35,7 @@
 
 // call is a request that was taken.
 type call struct {
-	deckflow.Request
+	tuliprock.Request
 	message *message
 	replies chan reply // takes the one final answer without blocking
 
@@ -48,7 +48,7 @@
 // loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
 type loop struct {
 	clock    clock
-	balancer *deckflow.Balancer
+	balancer *tuliprock.Balancer
 	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
@@ -61,10 +61,10 @@
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
-func newLoop(s deckflow.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
+func newLoop(s tuliprock.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
 	l := &loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
 		upstream: u, ask: ask, log: log, calls: map[string]*call{}, members: map[string]bool{}}
-	l.balancer = deckflow.New(l.clock.now(), s, host{l})
+	l.balancer = tuliprock.New(l.clock.now(), s, host{l})
 	return l
 }
 
@@ -150,10 +150,10 @@
 }
 
 // ended reports the end of an attempt. A whole answer is passed on at once; one that comes too late is dropped.
-func (l *loop) ended(now time.Duration, c *call, o deckflow.Outcome, sent time.Duration, a answer) {
+func (l *loop) ended(now time.Duration, c *call, o tuliprock.Outcome, sent time.Duration, a answer) {
 	c.out--
 	o.Took, o.Final = now-sent, c.over
-	if o.Result == deckflow.OK && !c.over {
+	if o.Result == tuliprock.OK && !c.over {
 		o.Final = true
 		l.finish(c, reply{status: statusServed, answer: a})
 	}
@@ -163,18 +163,18 @@
 
 // list reports what discovery says.
 func (l *loop) list(now time.Duration, m Members) {
-	out := deckflow.List{Complete: m.Full}
+	out := tuliprock.List{Complete: m.Full}
 	listed := map[string]bool{}
 	for _, s := range m.Servers {
-		out.Entries = append(out.Entries, deckflow.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
+		out.Entries = append(out.Entries, tuliprock.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, Started: l.clock.instant(s.StartedMs)})
 		listed[s.ID] = true
-		if s.State == deckflow.Gone {
+		if s.State == tuliprock.Gone {
 			l.remove(s.ID)
 			continue
 		}
 		l.members[s.ID] = true
-		l.upstream.setMember(s.ID, s.Addr, s.State == deckflow.Ready)
+		l.upstream.setMember(s.ID, s.Addr, s.State == tuliprock.Ready)
 	}
 	if m.Full {
 		for id := range l.members {
@@ -195,21 +195,21 @@
 // back.
 type host struct{ *loop }
 
-var _ deckflow.Host = host{}
+var _ tuliprock.Host = host{}
 
-// Send implements deckflow.Host.
+// Send implements tuliprock.Host.
 func (h host) Send(id, endpoint string, timeout time.Duration) {
 	c := h.calls[id]
 	if c == nil {
 		return // not a request of ours: nothing to report either
 	}
-	o := deckflow.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
+	o := tuliprock.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
 	sent := h.clock.now()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	c.cancels = append(c.cancels, cancel)
 	c.out++
 	if c.over {
-		o.Result = deckflow.NotSent
+		o.Result = tuliprock.NotSent
 		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, answer{}) })
 		return
 	}
@@ -221,36 +221,36 @@
 	}()
 }
 
-// Cancel implements deckflow.Host.
+// Cancel implements tuliprock.Host.
 func (h host) Cancel(id string, n int) {
 	if c := h.calls[id]; c != nil && n >= 0 && n < len(c.cancels) {
 		c.cancels[n]()
 	}
 }
 
-// Refuse implements deckflow.Host.
+// Refuse implements tuliprock.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	h.finish(h.calls[id], reply{status: statusRefused, retryAfter: retryAfter})
 }
 
-// Fail implements deckflow.Host.
+// Fail implements tuliprock.Host.
 func (h host) Fail(id string) { h.finish(h.calls[id], reply{status: statusFailed}) }
 
-// Probe implements deckflow.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
+// Probe implements tuliprock.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
 func (h host) Probe(endpoint string) {
 	h.later = append(h.later, func(now time.Duration) {
-		h.balancer.Probed(now, deckflow.ProbeResult{Endpoint: endpoint, Result: deckflow.NotSent})
+		h.balancer.Probed(now, tuliprock.ProbeResult{Endpoint: endpoint, Result: tuliprock.NotSent})
 	})
 }
 
-// Subscribe implements deckflow.Host.
+// Subscribe implements tuliprock.Host.
 func (h host) Subscribe() { h.ask() }
 
-// Timer implements deckflow.Host.
+// Timer implements tuliprock.Host.
 func (h host) Timer(at time.Duration) {
 	i, _ := slices.BinarySearch(h.timers, at)
 	h.timers = slices.Insert(h.timers, i, at)
 }
 
-// Log implements deckflow.Host.
+// Log implements tuliprock.Host.
 func (h host) Log(line string) { h.log.Info(line) }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 // What callers are answered. Only a refusal is 503, and nothing is 429: both promise that nothing has run.
@@ -96,7 +96,7 @@
 		return nil, status, err
 	}
 	return &call{
-		Request: deckflow.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
+		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
 		message: &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body},
 		replies: make(chan reply, 1),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 const (
@@ -43,7 +43,7 @@
 	l := newLoop(settings, up, d.subscribe, log)
 	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
 	d.failed = func() {
-		l.post(func(now time.Duration) { l.balancer.EndpointList(now, deckflow.List{Failed: true}) })
+		l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
 	}
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
@@ -52,7 +52,7 @@
 	s := &server{loop: l, keyed: map[string]bool{}, log: log,
 		conns: connTable{most: max(each, 8), idle: map[net.Conn]time.Time{}, open: map[net.Conn]bool{}}}
 	for _, class := range settings.Classes {
-		s.keyed[class.Name] = class.Effect == deckflow.Keyed
+		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
 	}
 	return &Sidecar{server: s.http(), listener: listener, loop: l, upstream: up, discovery: d}, nil
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 const (
@@ -258,10 +258,10 @@
 
 // attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
 // attempt returns: no second attempt can be out beside this one.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) (deckflow.Result, answer) {
+func (u *upstream) attempt(ctx context.Context, id string, m *message) (tuliprock.Result, answer) {
 	c, err := u.take(ctx, id)
 	if err != nil {
-		return unlessCanceled(ctx, deckflow.ConnectFailed), answer{}
+		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	result, a, reusable := c.exchange(ctx, m)
@@ -274,30 +274,30 @@
 }
 
 // unlessCanceled is r, or Canceled if the attempt was called off.
-func unlessCanceled(ctx context.Context, r deckflow.Result) deckflow.Result {
+func unlessCanceled(ctx context.Context, r tuliprock.Result) tuliprock.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return deckflow.Canceled
+		return tuliprock.Canceled
 	}
 	return r
 }
 
 // broken is the outcome of an attempt whose last byte was written and whose whole answer has not come.
-func broken(ctx context.Context) deckflow.Result {
+func broken(ctx context.Context) tuliprock.Result {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return deckflow.TimedOut
+		return tuliprock.TimedOut
 	}
-	return unlessCanceled(ctx, deckflow.Reset)
+	return unlessCanceled(ctx, tuliprock.Reset)
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, m *message) (r deckflow.Result, a answer, reusable bool) {
+func (c *conn) exchange(ctx context.Context, m *message) (r tuliprock.Result, a answer, reusable bool) {
 	text, err := m.bytes(ctx)
 	if err != nil {
-		return deckflow.NotSent, answer{}, false
+		return tuliprock.NotSent, answer{}, false
 	}
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
-		return unlessCanceled(ctx, deckflow.ConnectFailed), answer{}, false
+		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}, false
 	}
 	resp, body, err := c.readAnswer(m.method)
 	if err != nil {
@@ -306,11 +306,11 @@
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return deckflow.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
+		return tuliprock.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
-		return deckflow.Full, answer{}, reusable
+		return tuliprock.Full, answer{}, reusable
 	}
-	return deckflow.Errored, answer{}, reusable
+	return tuliprock.Errored, answer{}, reusable
 }
 
 func isUnavailable(status int) bool {
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A Reply gathers the actions of one batch. Its Of method gives the deckflow.Host of an instance.
+// A Reply gathers the actions of one batch. Its Of method gives the tuliprock.Host of an instance.
 type Reply struct {
 	buf  []byte
 	last int // the instance whose actions were written last
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,15 +11,15 @@
 	"strconv"
 	"time"
 
-	"deckflow"
+	"tuliprock"
 )
 
 // Handler receives the events of the batches, in order. Its methods may return an error to stop reading.
 type Handler interface {
-	Start(instance int, s deckflow.Settings) error
+	Start(instance int, s tuliprock.Settings) error
 	Stop(instance int) error
 	// Instance gives the receiver of one event.
-	Instance(instance int) (deckflow.Events, error)
+	Instance(instance int) (tuliprock.Events, error)
 	// EndBatch is called when a batch has been read whole and its reply is due.
 	EndBatch() error
 }
@@ -40,8 +40,8 @@
 	now      time.Duration
 	instance int
 	started  bool // an instance was named in this batch
-	lists    [maxLists]*[]deckflow.Endpoint
-	filling  *[]deckflow.Endpoint
+	lists    [maxLists]*[]tuliprock.Endpoint
+	filling  *[]tuliprock.Endpoint
 	missing  int // entries still to come for the list being filled
 
 }
@@ -170,12 +170,12 @@
 	return r.event(string(name), to)
 }
 
-func (r *Reader) event(name string, to deckflow.Events) error {
+func (r *Reader) event(name string, to tuliprock.Events) error {
 	var p fields
 	p.r = r
 	switch name {
 	case "REGISTRY":
-		l := deckflow.List{}
+		l := tuliprock.List{}
 		mode := p.text("Mode", true)
 		p.integer("Gen", false)
 		switch mode {
@@ -197,7 +197,7 @@
 			to.EndpointList(r.now, l)
 		}
 	case "CALL":
-		q := deckflow.Request{ID: p.id("Rid"), Class: p.word("Band", true), Tenant: p.word("Team", false),
+		q := tuliprock.Request{ID: p.id("Rid"), Class: p.word("Band", true), Tenant: p.word("Team", false),
 			Deadline: p.micros("ValidUntilUs", true)}
 		flags := p.integer("Attrs", false)
 		q.Repeat = flags&2 != 0
@@ -210,7 +210,7 @@
 			to.StreamStarted(r.now, id, n)
 		}
 	case "ATTEMPT_END":
-		o := deckflow.Outcome{ID: p.id("Rid"), Attempt: p.integer("N", true), Endpoint: p.word("Endpoint", true),
+		o := tuliprock.Outcome{ID: p.id("Rid"), Attempt: p.integer("N", true), Endpoint: p.word("Endpoint", true),
 			Result: p.result(), Took: p.micros("SpentUs", true), Final: p.integer("DoneFlag", false) != 0}
 		if p.err == nil {
 			to.Outcome(r.now, o)
@@ -225,7 +225,7 @@
 			to.Timer(r.now)
 		}
 	case "CHECKED":
-		o := deckflow.ProbeResult{Endpoint: p.word("Endpoint", true), Result: p.result(), Load: p.load()}
+		o := tuliprock.ProbeResult{Endpoint: p.word("Endpoint", true), Result: p.result(), Load: p.load()}
 		if p.err == nil {
 			to.Probed(r.now, o)
 		}
@@ -245,7 +245,7 @@
 	if ref < 0 || ref >= maxLists || n < 0 {
 		return errors.New("LEDGER with a number out of range")
 	}
-	list := []deckflow.Endpoint{}
+	list := []tuliprock.Endpoint{}
 	r.lists[ref], r.filling, r.missing = &list, &list, n
 	return nil
 }
@@ -255,15 +255,15 @@
 		return errors.New("ENDPOINT without a LEDGER that counts it")
 	}
 	p := fields{r: r}
-	e := deckflow.Endpoint{ID: p.word("Endpoint", true), Zone: p.word("Zone", false), Kind: p.word("Sku", false), Cell: p.integer("Pack", false),
+	e := tuliprock.Endpoint{ID: p.word("Endpoint", true), Zone: p.word("Zone", false), Kind: p.word("Sku", false), Cell: p.integer("Pack", false),
 		Started: p.micros("LastStartUs", false)}
 	switch phase := p.text("Phase", true); phase {
 	case "ready":
-		e.State = deckflow.Ready
+		e.State = tuliprock.Ready
 	case "draining":
-		e.State = deckflow.Draining
+		e.State = tuliprock.Draining
 	case "gone":
-		e.State = deckflow.Gone
+		e.State = tuliprock.Gone
 	default:
 		p.fail("ENDPOINT has an unknown Phase %q", phase)
 	}
@@ -398,33 +398,33 @@
 	return s
 }
 
-func (p *fields) result() deckflow.Result {
+func (p *fields) result() tuliprock.Result {
 	switch v := p.bytes("StateCode", true); string(v) {
 	case "Ok":
-		return deckflow.OK
+		return tuliprock.OK
 	case "Failed":
-		return deckflow.Errored
+		return tuliprock.Errored
 	case "QueueFull":
-		return deckflow.Full
+		return tuliprock.Full
 	case "TimedOut":
-		return deckflow.TimedOut
+		return tuliprock.TimedOut
 	case "ConnectError":
-		return deckflow.ConnectFailed
+		return tuliprock.ConnectFailed
 	case "ResetByPeer":
-		return deckflow.Reset
+		return tuliprock.Reset
 	case "Canceled":
-		return deckflow.Canceled
+		return tuliprock.Canceled
 	case "Ignored":
-		return deckflow.NotSent
+		return tuliprock.NotSent
 	default:
 		p.fail("unknown StateCode %q", v)
-		return deckflow.Errored
+		return tuliprock.Errored
 	}
 }
 
 // load reads a load report. The requests that an endpoint holds are its "active" figure, the waiting ones
 // included.
-func (p *fields) load() (l deckflow.Load) {
+func (p *fields) load() (l tuliprock.Load) {
 	rest := p.bytes("Load", false)
 	for len(rest) > 0 {
 		var pair []byte
@@ -433,7 +433,7 @@
 		x, err := strconv.ParseFloat(string(value), 64)
 		if !ok || err != nil {
 			p.fail("Load has a part %.40q that is not name:value", pair)
-			return deckflow.Load{}
+			return tuliprock.Load{}
 		}
 		if string(name) == "active" {
 			l.Known, l.Held = true, x
