--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":128,"sockets":512},"known":{"version":41,"full":true,"servers":[]},
+	"settings":{"Permissions":{"ConnIdleUs":30000000,"DialTimeoutUs":200000}}}`
+
+func noEnv(string) string { return "" }
+
+func TestAConfigurationIsRead(t *testing.T) {
+	c, err := parseConfig([]byte(goodConfig), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Limits != (Limits{1, 128, 512}) || *c.Known.Version != 41 || c.Settings.Seed != 0x8c1f30d27a5be964 ||
+		c.Settings.ConnIdle != 30*time.Second || c.Settings.DialTimeout != 200*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestVariablesFillWhatTheFileLacks(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"seed":"1","settings":{},"listen":"127.0.0.1:1"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"ROUTER_CONFIG": path, "ROUTER_NAME": "n1", "ROUTER_LISTEN": "127.0.0.1:2", "ROUTER_DISCOVERY": "127.0.0.1:3"}
+	c, err := LoadConfig(func(k string) string { return env[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n1" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:3" || c.Limits != (Limits{1, defaultMemoryMB, defaultSockets}) {
+		t.Errorf("%+v", c)
+	}
+	for variable, want := range map[string]string{"ROUTER_CONFIG": "ROUTER_CONFIG", "ROUTER_DISCOVERY": "discovery"} {
+		less := maps.Clone(env)
+		delete(less, variable)
+		if _, err := LoadConfig(func(k string) string { return less[k] }); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("without %s: %v", variable, err)
+		}
+	}
+}
+
+func TestABadConfigurationNamesTheField(t *testing.T) {
+	for field, swap := range map[string][2]string{
+		"config":           {`{"name"`, `{name`},
+		"listen":           {`"127.0.0.1:0"`, `"nowhere"`},
+		"discovery":        {`"127.0.0.1:8500"`, `"127.0.0.1:dns"`},
+		"seed":             {`"8c1f30d27a5be964"`, `"8c1f30d27a5be964g"`},
+		"limits.cores":     {`"cores":1.0`, `"cores":-1`},
+		"limits.memory_mb": {`"memory_mb":128`, `"memory_mb":1`},
+		"limits.sockets":   {`"sockets":512`, `"sockets":3`},
+		"known":            {`"version":41,`, ``},
+		"settings":         {`{"Permissions"`, `{"Lanes":[{"Name":"x","Semantics":"odd"}],"Permissions"`},
+	} {
+		text := strings.Replace(goodConfig, swap[0], swap[1], 1)
+		if text == goodConfig {
+			t.Fatalf("%s: nothing replaced", field)
+		}
+		_, err := parseConfig([]byte(text), noEnv)
+		if err == nil || !strings.HasPrefix(err.Error(), field+":") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,310 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tuliprock"
+)
+
+const patience = 20 * time.Second // no test should come near it
+
+// endpoint accepts connections and hands each request that comes whole to serve, which returns false to close.
+type endpoint struct {
+	addr        string
+	listener    net.Listener
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+func newEndpoint(t *testing.T, serve func(nc net.Conn, r *http.Request, n int) bool) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	e := &endpoint{addr: l.Addr().String(), listener: l}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.connections.Add(1)
+			go e.run(nc, serve)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) run(nc net.Conn, serve func(net.Conn, *http.Request, int) bool) {
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !serve(nc, r, int(e.requests.Add(1))) {
+			return
+		}
+	}
+}
+
+func says(text string, stay bool) func(net.Conn, *http.Request, int) bool {
+	return func(nc net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(nc, text)
+		return stay
+	}
+}
+
+const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+func testUpstream(t *testing.T, addrs ...string) *upstream {
+	t.Helper()
+	u := newUpstream(time.Minute, patience, 100)
+	for i, addr := range addrs {
+		u.setMember(string(rune('a'+i)), addr, true)
+	}
+	t.Cleanup(func() { u.sweep(func(*conn) bool { return false }) })
+	return u
+}
+
+func get(path string) *message {
+	return &message{method: http.MethodGet, url: &url.URL{Path: path}, host: "api.internal", header: http.Header{"Req-Id": {"r1"}}}
+}
+
+func ctxFor(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestAnAnswerTellsTheOutcome(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: "
+	for name, row := range map[string]struct {
+		says string
+		want tuliprock.Result
+		stay bool
+	}{
+		"200":                      {served, tuliprock.OK, true},
+		"200 in chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", tuliprock.OK, true},
+		"200 after interim":        {"HTTP/1.1 103 Early Hints\r\n\r\n" + served, tuliprock.OK, true},
+		"500":                      {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
+		"503 declined":             {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Full, true},
+		"504 declined":             {"HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Full, true},
+		"503 that may have run":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
+		"500 that claims declined": {"HTTP/1.1 500 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
+		"nothing, then an end":     {"", tuliprock.Reset, false},
+		"half a head":              {head, tuliprock.Reset, false},
+		"half a body":              {head + "9\r\n\r\nhi", tuliprock.Reset, false},
+		"half of the chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", tuliprock.Reset, false},
+		"no length":                {"HTTP/1.1 200 OK\r\n\r\nhi", tuliprock.Reset, false},
+		"too long a body":          {head + "70000\r\n\r\n" + strings.Repeat("x", 70000), tuliprock.Reset, true},
+		"a head without end":       {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200000), tuliprock.Reset, true},
+		"noise":                    {"\x00\x01\r\n\r\n", tuliprock.Reset, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, says(row.says, row.stay))
+			result, a := testUpstream(t, e.addr).attempt(ctxFor(t, patience), "a", get("/c"))
+			if result != row.want {
+				t.Errorf("outcome %v, want %v", result, row.want)
+			}
+			if want := map[bool]string{true: "hi"}[row.want == tuliprock.OK]; string(a.body) != want {
+				t.Errorf("body %q, want %q", a.body, want)
+			}
+			if n := e.requests.Load(); n != 1 {
+				t.Errorf("the request came %d times", n)
+			}
+		})
+	}
+}
+
+func TestNoConnectionIsConnectFailed(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	u := testUpstream(t, e.addr)
+	u.dialTimeout = time.Nanosecond
+	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+		t.Errorf("never up: %v", r)
+	}
+	e.listener.Close()
+	u.dialTimeout = patience
+	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+		t.Errorf("refused: %v", r)
+	}
+	if r, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.ConnectFailed {
+		t.Errorf("no address: %v", r)
+	}
+	if u.open != 0 {
+		t.Errorf("%d descriptors are still counted", u.open)
+	}
+}
+
+// A request whose last byte was not written can't have run.
+func TestABreakWhileWritingIsConnectFailed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		nc, err := l.Accept()
+		if err == nil {
+			io.ReadFull(nc, make([]byte, 10))
+			nc.Close() // with bytes unread: a reset
+		}
+	}()
+	m := get("/c")
+	m.method, m.body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
+	if r, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
+		t.Errorf("outcome %v", r)
+	}
+}
+
+// The connection must be closed before the outcome is known: the next attempt would be a second one out.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	for _, want := range []tuliprock.Result{tuliprock.TimedOut, tuliprock.Canceled} {
+		came, closed := make(chan bool, 1), make(chan error, 1)
+		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+			came <- true
+			_, err := nc.Read(make([]byte, 1))
+			closed <- err
+			return false
+		})
+		u := testUpstream(t, e.addr)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if want == tuliprock.TimedOut {
+			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+		} else {
+			go func() { <-came; cancel() }()
+		}
+		r, _ := u.attempt(ctx, "a", get("/c"))
+		cancel()
+		if r != want {
+			t.Errorf("outcome %v, want %v", r, want)
+		}
+		if u.open != 0 {
+			t.Errorf("%v: the connection is still open", want)
+		}
+		if err := <-closed; err == nil {
+			t.Errorf("%v: the endpoint read on", want)
+		}
+	}
+}
+
+// net/http's Transport would send these again by itself.
+func TestABrokenReusedConnectionIsNotResent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
+			if n > 1 {
+				return false
+			}
+			io.WriteString(nc, served)
+			return true
+		})
+		u := testUpstream(t, e.addr)
+		m := get("/c")
+		m.method = method
+		m.header.Set("Idempotency-Key", "k")
+		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
+			t.Fatalf("first: %v", r)
+		}
+		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset {
+			t.Errorf("%s on a connection that broke: %v", method, r)
+		}
+		if n, c := e.requests.Load(), e.connections.Load(); n != 2 || c != 1 {
+			t.Errorf("%s: %d requests on %d connections", method, n, c)
+		}
+	}
+}
+
+// until polls for what the kernel does in its own time.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func TestADeadIdleConnectionIsNotPicked(t *testing.T) {
+	for name, behind := range map[string]string{"closed": "", "bytes that nobody asked for": "x"} {
+		answered := make(chan bool, 1)
+		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
+			io.WriteString(nc, served)
+			if n == 1 {
+				<-answered
+				io.WriteString(nc, behind)
+			}
+			return n > 1
+		})
+		u := testUpstream(t, e.addr)
+		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+			t.Fatalf("%s: first: %v", name, r)
+		}
+		answered <- true
+		until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
+		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+			t.Errorf("%s: second: %v", name, r)
+		}
+		if c := e.connections.Load(); c != 2 {
+			t.Errorf("%s: %d connections", name, c)
+		}
+	}
+}
+
+func TestConnectionsAreReusedAndRetired(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	other := newEndpoint(t, says(served, true))
+	u := testUpstream(t, e.addr)
+	try := func(want int32) {
+		t.Helper()
+		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+			t.Fatalf("outcome %v", r)
+		}
+		if c := e.connections.Load(); c != want {
+			t.Errorf("%d connections, want %d", c, want)
+		}
+	}
+	try(1)
+	try(1)
+	u.pools["a"].idle[0].idleAt = time.Now().Add(-u.idleFor) // the endpoint may close it any moment
+	try(2)
+	u.setMember("a", other.addr, true) // moved: the old connection leads elsewhere
+	try(2)
+	if c := other.connections.Load(); c != 1 || u.open != 1 {
+		t.Errorf("%d connections to the new address, %d open", c, u.open)
+	}
+	u.setMember("a", other.addr, false)
+	if u.open != 0 {
+		t.Errorf("%d connections to an endpoint that drains", u.open)
+	}
+}
+
+func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
+	e, f := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
+	u := testUpstream(t, e.addr, f.addr)
+	u.most = 1
+	for _, id := range []string{"a", "b", "a"} {
+		if r, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
+			t.Errorf("%s: %v", id, r)
+		}
+		if u.open != 1 {
+			t.Errorf("%d open", u.open)
+		}
+	}
+}
