--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -27,7 +28,7 @@
 	healthPath   = "/_health"
 	maxID        = 256
 	maxDeadline  = time.Hour
-	wayBack      = 10 * time.Millisecond // kept of a caller's deadline for the way here and back
+	wayBack      = 10 * time.Millisecond // kept of a deadline for the way here and back: 0.4 ms here (p99), the rest the network's
 	headTimeout  = 10 * time.Second
 	bodyTimeout  = 5 * time.Second
 	writeTimeout = 5 * time.Second
@@ -38,6 +39,7 @@
 type server struct {
 	loop  *loop
 	keyed map[string]bool // classes whose requests carry a key
+	host  string          // stands in where an HTTP/1.0 caller names no host
 	log   *slog.Logger
 	conns connTable
 }
@@ -98,7 +100,7 @@
 	return &call{
 		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
-		message: &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body},
+		message: &message{method: r.Method, url: r.URL, host: cmp.Or(r.Host, s.host), header: endToEnd(r.Header), body: body},
 		replies: make(chan reply, 1),
 	}, 0, nil
 }
@@ -198,6 +200,9 @@
 		}
 	case http.StateIdle:
 		t.idle[c] = time.Now()
+		if len(t.open) > t.most {
+			t.closeIdlest()
+		}
 	case http.StateActive:
 		delete(t.idle, c)
 	default:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,11 +10,14 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"tuliprock"
 )
 
 const (
 	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
+	spareCallers     = 16                     // of them, for callers that have come before an idle one is closed
 	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
 	drainMost        = 20 * time.Second       // no deadline is longer
 )
@@ -49,12 +52,15 @@
 	known.Full = true // the list as it was last had, and the first that the module hears
 	l.list(l.clock.now(), known)
 
-	s := &server{loop: l, keyed: map[string]bool{}, log: log,
+	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log,
 		conns: connTable{most: max(each, 8), idle: map[net.Conn]time.Time{}, open: map[net.Conn]bool{}}}
 	for _, class := range settings.Classes {
 		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
 	}
-	return &Sidecar{server: s.http(), listener: listener, loop: l, upstream: up, discovery: d}, nil
+	log.Info("listening", "addr", listener.Addr().String())
+	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
+	bounded := netutil.LimitListener(listener, max(each, 8)+spareCallers)
+	return &Sidecar{server: s.http(), listener: bounded, loop: l, upstream: up, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,403 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
+	{"Name":"book","Semantics":"idempotency_key","Group":"cell","WindowUs":10000000,"OnTimeUs":2000000},
+	{"Name":"pay","Semantics":"non_idempotent","OnTimeUs":2000000}],
+	"Permissions":{"MayCancel":true,"TryLimit":4,"RetryAfter":true,"MaxRetryAfterUs":2000000,"DialTimeoutUs":5000000}}`
+
+// running is a whole sidecar on loopback sockets.
+type running struct {
+	*Sidecar
+	addr  string
+	term  context.CancelFunc
+	ended chan error
+}
+
+// run starts a sidecar before the endpoints given, named a, b, ... Its discovery never says anything.
+func run(t *testing.T, addrs ...string) *running {
+	t.Helper()
+	silent := httptest.NewServer(&script{calls: make(chan string, 100)})
+	var list []string
+	for i, addr := range addrs {
+		list = append(list, member(string(rune('a'+i)), addr, "Ready"))
+	}
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,"settings":%s}`,
+		silent.Listener.Addr(), members(1, true, list...), laneSettings)
+	c, err := parseConfig([]byte(text), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Start(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, term := context.WithCancel(context.Background())
+	r := &running{Sidecar: s, addr: s.Addr().String(), term: term, ended: make(chan error, 1)}
+	go func() { r.ended <- s.Serve(ctx); silent.Close() }()
+	t.Cleanup(func() { term() })
+	return r
+}
+
+// request is one as clients send it.
+func (s *running) request(t *testing.T, method, path, id string, ms int) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+s.addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Req-Id", id)
+	r.Header.Set("Req-Deadline-Ms", fmt.Sprint(ms))
+	if strings.HasPrefix(path, "/book") {
+		r.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	return r
+}
+
+// ask sends a request on a connection of its own.
+func ask(t *testing.T, r *http.Request) (status int, body string, h http.Header) {
+	t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Error(err)
+		return 0, "", nil
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(text), resp.Header
+}
+
+// keep sends a request on a new connection and leaves that open.
+func keep(t *testing.T, r *http.Request) (net.Conn, *bufio.Reader, *http.Response) {
+	t.Helper()
+	nc, err := net.Dial("tcp", r.URL.Host)
+	if err != nil {
+		t.Error(err)
+		return nil, nil, nil
+	}
+	t.Cleanup(func() { nc.Close() })
+	in := bufio.NewReader(nc)
+	err = r.Write(nc)
+	if err == nil {
+		nc.SetReadDeadline(time.Now().Add(patience))
+		var resp *http.Response
+		if resp, err = http.ReadResponse(in, r); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			return nc, in, resp
+		}
+	}
+	t.Error(err)
+	return nc, in, &http.Response{}
+}
+
+func TestARequestGoesOnUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	body := make(chan string, 1)
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		body <- string(text)
+		got <- r
+		io.WriteString(w, "done")
+	}))
+	defer e.Close()
+	s := run(t, e.Listener.Addr().String())
+	r := s.request(t, http.MethodPost, "/book/a%2Fb?x=1&y=%20", "id-1", 4000)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader("parcel")), 6
+	if status, text, _ := ask(t, r); status != http.StatusOK || text != "done" {
+		t.Errorf("%d %q", status, text)
+	}
+	in := <-got
+	if b := <-body; in.Method != http.MethodPost || in.RequestURI != "/book/a%2Fb?x=1&y=%20" || b != "parcel" ||
+		in.Header.Get("Req-Id") != "id-1" || in.Header.Get("Idempotency-Key") != "key-id-1" {
+		t.Errorf("%s %s %v, body %q", in.Method, in.RequestURI, in.Header, b)
+	}
+	var left int
+	if _, err := fmt.Sscan(in.Header.Get("Req-Deadline-Ms"), &left); err != nil || left < 1 || left >= 4000 {
+		t.Errorf("the endpoint was told to have %d ms: %v", left, err)
+	}
+}
+
+// What can't have run may be refused; what may have run is failed, and sent only once.
+func TestUnsafeWorkIsNotResentAndNotRefused(t *testing.T) {
+	for name, row := range map[string]struct {
+		path string
+		want int
+	}{"unsafe": {"/pay", statusFailed}, "a class that nobody listed": {"/new", statusFailed}} {
+		e := newEndpoint(t, says("", false))
+		s := run(t, e.addr, e.addr, e.addr)
+		if status, _, _ := ask(t, s.request(t, http.MethodPost, row.path, "r1", 4000)); status != row.want {
+			t.Errorf("%s: %d", name, status)
+		}
+		if n := e.requests.Load(); n != 1 {
+			t.Errorf("%s: sent %d times", name, n)
+		}
+	}
+	closed := newEndpoint(t, says("", false))
+	closed.listener.Close()
+	s := run(t, closed.addr)
+	status, _, h := ask(t, s.request(t, http.MethodPost, "/pay", "r2", 4000))
+	if status != statusRefused || h.Get("Retry-After") == "" {
+		t.Errorf("never ran: %d %v", status, h)
+	}
+}
+
+func TestASilentEndpointStillGetsAnAnswerOut(t *testing.T) {
+	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		nc.Read(make([]byte, 1))
+		return false
+	})
+	s := run(t, e.addr)
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != statusFailed {
+		t.Errorf("status %d", status)
+	}
+}
+
+func TestACallerThatLeavesEndsTheAttempt(t *testing.T) {
+	came, left := make(chan bool), make(chan bool)
+	e := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-r.Context().Done()
+		left <- true
+	}))
+	defer e.Close()
+	s := run(t, e.Listener.Addr().String())
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { <-came; leave() }()
+	if _, err := http.DefaultClient.Do(s.request(t, http.MethodGet, "/look", "r1", 60000).WithContext(ctx)); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Error("the endpoint was left waiting")
+	}
+}
+
+func TestADuplicateLiveIDDoesNotDisturbTheFirst(t *testing.T) {
+	came, release := make(chan bool, 2), make(chan bool)
+	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		came <- true
+		<-release
+		io.WriteString(nc, served)
+		return true
+	})
+	s := run(t, e.addr)
+	first := make(chan int)
+	go func() {
+		status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000))
+		first <- status
+	}()
+	<-came
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000)); status != statusDuplicate {
+		t.Errorf("second: %d", status)
+	}
+	close(release)
+	if status := <-first; status != http.StatusOK {
+		t.Errorf("first: %d", status)
+	}
+	if n := e.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+}
+
+func TestBadInputReachesNoEndpoint(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	const host, id, ms = " HTTP/1.1\r\nHost: h\r\n", "Req-Id: r1\r\n", "Req-Deadline-Ms: 1000\r\n"
+	for name, text := range map[string]string{
+		"noise":                     "\x01\x02 \x03\r\n\r\n",
+		"no host":                   "GET /look HTTP/1.1\r\n" + id + ms + "\r\n",
+		"no id":                     "GET /look" + host + ms + "\r\n",
+		"an empty id":               "GET /look" + host + "Req-Id:\r\n" + ms + "\r\n",
+		"two ids":                   "GET /look" + host + id + "Req-Id: r2\r\n" + ms + "\r\n",
+		"an endless id":             "GET /look" + host + "Req-Id: " + strings.Repeat("x", 999) + "\r\n" + ms + "\r\n",
+		"no deadline":               "GET /look" + host + id + "\r\n",
+		"a deadline that's no time": "GET /look" + host + id + "Req-Deadline-Ms: soon\r\n\r\n",
+		"a deadline of nothing":     "GET /look" + host + id + "Req-Deadline-Ms: 0\r\n\r\n",
+		"a negative deadline":       "GET /look" + host + id + "Req-Deadline-Ms: -5\r\n\r\n",
+		"an endless deadline":       "GET /look" + host + id + "Req-Deadline-Ms: 99999999999999999999\r\n\r\n",
+		"a negative length":         "POST /look" + host + id + ms + "Content-Length: -1\r\n\r\n",
+		"a length that's no number": "POST /look" + host + id + ms + "Content-Length: x\r\n\r\n",
+		"an over-long body":         "POST /look" + host + id + ms + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
+		"an over-long chunked body": "POST /look" + host + id + ms + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n0\r\n\r\n",
+		"a bad chunk":               "POST /look" + host + id + ms + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"an over-long head":         "GET /look" + host + id + ms + "X: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
+		"a keyed class with no key": "POST /book" + host + id + ms + "Content-Length: 0\r\n\r\n",
+		"another method":            "DELETE /look" + host + id + ms + "\r\n",
+	} {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go io.WriteString(nc, text)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if resp.StatusCode < 400 || resp.StatusCode > 499 || resp.StatusCode == http.StatusTooManyRequests {
+			t.Errorf("%s: status %d", name, resp.StatusCode)
+		}
+		nc.Close()
+	}
+	if n := e.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 4000)); status != http.StatusOK {
+		t.Errorf("a good request afterwards: %d", status)
+	}
+}
+
+// A list goes through the loop, as discovery's do: what comes after it finds it in force.
+func (s *running) tell(t *testing.T, text string) {
+	t.Helper()
+	m, err := parseMembers([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.discovery.deliver(m)
+}
+
+func TestNothingNewGoesToWhatDrainsOrIsGone(t *testing.T) {
+	a, b := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
+	s := run(t, a.addr, b.addr)
+	n := 0
+	calls := func() (int32, int32) {
+		for range 8 {
+			n++
+			if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", n), 60000)); status != http.StatusOK {
+				t.Errorf("status %d", status)
+			}
+		}
+		return a.requests.Swap(0), b.requests.Swap(0)
+	}
+	if x, y := calls(); x == 0 || y == 0 {
+		t.Errorf("at first %d and %d", x, y)
+	}
+	s.tell(t, members(2, false, member("a", a.addr, "Terminating")))
+	if x, y := calls(); x != 0 || y != 8 {
+		t.Errorf("with a draining, %d and %d", x, y)
+	}
+	s.tell(t, members(3, true, member("b", a.addr, "Ready"))) // a gone, b moved
+	if x, y := calls(); x != 8 || y != 0 {
+		t.Errorf("with b moved, %d to its new address and %d to the old", x, y)
+	}
+}
+
+// After SIGTERM callers go on coming for a while; all that was taken is answered before the end.
+func TestTheEndLosesNothing(t *testing.T) {
+	came, release := make(chan bool, 100), make(chan bool)
+	e := newEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.Header.Get("Req-Id"), "slow") {
+			came <- true
+			<-release
+		}
+		io.WriteString(nc, served)
+		return true
+	})
+	s := run(t, e.addr)
+	var slow sync.WaitGroup
+	for i := range 3 {
+		slow.Go(func() {
+			_, _, resp := keep(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("slow", i), 60000))
+			if resp.StatusCode != http.StatusOK || !resp.Close {
+				t.Errorf("in flight: %d, close %v", resp.StatusCode, resp.Close)
+			}
+		})
+		<-came
+	}
+	_, in, resp := keep(t, s.request(t, http.MethodGet, "/look", "kept", 60000))
+	if resp.StatusCode != http.StatusOK || resp.Close {
+		t.Errorf("before the signal: %d, close %v", resp.StatusCode, resp.Close)
+	}
+
+	s.term()
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "late", 60000)); status != http.StatusOK {
+		t.Errorf("right after the signal: %d", status)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	until(t, "the listener closes", func() bool {
+		nc, err := net.Dial("tcp", s.addr)
+		if err == nil {
+			nc.Close()
+		}
+		return err != nil
+	})
+	select {
+	case err := <-s.ended:
+		t.Fatalf("ended with requests in flight: %v", err)
+	default:
+	}
+	close(release)
+	slow.Wait()
+	select {
+	case err := <-s.ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("never ended")
+	}
+}
+
+// Idle callers must give way when connections run short, and none may be lost.
+func TestIdleCallersGiveWay(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","limits":{"sockets":64},"known":%s,"settings":%s}`,
+		members(1, true, member("a", e.addr, "Ready")), laneSettings)
+	c, err := parseConfig([]byte(text), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	side, err := Start(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, term := context.WithCancel(context.Background())
+	defer term()
+	go side.Serve(ctx)
+	s := &running{Sidecar: side, addr: side.Addr().String()}
+	for i := range 100 { // far over the limit
+		_, _, resp := keep(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000))
+		if resp.StatusCode != http.StatusOK {
+			t.Fatalf("caller %d: status %d", i, resp.StatusCode)
+		}
+	}
+}
+
+// The same start must always be the same instant, or an old one would pass for a restart.
+func TestStartsOfEndpointsBecomeInstants(t *testing.T) {
+	c := clock{time.Now()}
+	at := c.started.UnixMilli()
+	if c.instant(0) != 0 {
+		t.Errorf("long ago: %v", c.instant(0))
+	}
+	if got := c.instant(at - 2000); got != clockStart-2*time.Second {
+		t.Errorf("two seconds before the start: %v", got)
+	}
+	if got := c.instant(1); got != 0 {
+		t.Errorf("years ago: %v", got)
+	}
+	if now := c.now(); now < clockStart {
+		t.Errorf("now: %v", now)
+	}
+}
