Mend what a reading of the sidecar found: bodies, drain, timers, empty messages

The body is now read first, in bounded time. Test: half a body, with and without an id. - sidecar.go, drain: after 20 s it cut off whatever was in flight, though a deadline may be longer. No limit now: requests end by their deadlines. - loop.go, ring: a timer asked for at once while one rings kept the loop from all other events. Now it waits for the next turn. Test with a module that re-arms. - discovery.go: a message without servers emptied the list. It is malformed now. - loop.go, Send: the attempt's time-out is held to the request's deadline, as api.go says, whatever the module passes. - net/http's own complaints (a panic in a handler) were hidden at debug level. Ruled out by a probe: that the time limit on writing an answer outlives it on a kept connection; net/http lifts it.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -56,6 +56,9 @@
 	if m.Version == nil {
 		return Members{}, errors.New("version: missing")
 	}
+	if m.Servers == nil { // must not pass for a list on which nobody is left
+		return Members{}, errors.New("servers: missing")
+	}
 	for i := range m.Servers {
 		s := &m.Servers[i]
 		var ok bool
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -113,6 +113,7 @@
 func TestAMalformedLineStartsAnew(t *testing.T) {
 	for name, line := range map[string]string{
 		"no JSON":          "{nonsense",
+		"no entries":       `{"version":42,"full":true}`,
 		"no version":       `{"full":false,"servers":[]}`,
 		"an unknown state": members(42, false, member("a", "127.0.0.1:1", "Asleep")),
 		"no address":       members(42, false, member("a", "", "Ready")),
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -48,7 +48,7 @@
 // loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
 type loop struct {
 	clock    clock
-	balancer *tuliprock.Balancer
+	balancer tuliprock.Events
 	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
@@ -105,10 +105,12 @@
 	}
 }
 
-// ring reports the timers that are due.
+// ring reports the timers that are due. One asked for meanwhile waits for the next turn, so that timers can't keep
+// other events out.
 func (l *loop) ring(now time.Duration) {
-	for len(l.timers) > 0 && l.timers[0] <= now {
-		l.timers = l.timers[1:]
+	due, _ := slices.BinarySearch(l.timers, now+1)
+	l.timers = slices.Delete(l.timers, 0, due)
+	for range due {
 		l.balancer.Timer(now)
 	}
 }
@@ -205,7 +207,7 @@
 	}
 	o := tuliprock.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
 	sent := h.clock.now()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, c.Deadline-sent))
 	c.cancels = append(c.cancels, cancel)
 	c.out++
 	if c.over {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -42,21 +42,29 @@
 	host  string          // stands in where an HTTP/1.0 caller names no host
 	log   *slog.Logger
 	conns connTable
+
+	bodyTimeout time.Duration
 }
 
 func (s *server) http() *http.Server {
 	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: maxHead,
-		ConnState: s.conns.track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+		ConnState: s.conns.track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := s.loop.clock.now()
+	// The body comes first: net/http would wait without limit for the rest of one that was not read.
+	body, status, err := s.readBody(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
 	if r.URL.Path == healthPath {
-		io.WriteString(w, "ok\n")
+		_, _ = io.WriteString(w, "ok\n")
 		return
 	}
-	arrived := s.loop.clock.now()
-	c, status, err := s.read(w, r, arrived)
+	c, status, err := s.read(r, body, arrived)
 	if err != nil {
 		http.Error(w, err.Error(), status)
 		return
@@ -73,7 +81,7 @@
 }
 
 // read makes a call of a request, or says what is wrong with it.
-func (s *server) read(w http.ResponseWriter, r *http.Request, arrived time.Duration) (*call, int, error) {
+func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*call, int, error) {
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s is not served", r.Method)
 	}
@@ -93,10 +101,6 @@
 	if s.keyed[class] && r.Header.Get("Idempotency-Key") == "" { // endpoints could not drop its repeats
 		return nil, http.StatusBadRequest, errors.New("Idempotency-Key: missing")
 	}
-	body, status, err := readBody(w, r)
-	if err != nil {
-		return nil, status, err
-	}
 	return &call{
 		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
@@ -116,12 +120,12 @@
 
 // readBody reads a body whole, in bounded time. The time limit must be lifted afterwards: while a request waits for
 // its answer, a read that times out looks to net/http like a caller that has left.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+func (s *server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
 	if r.ContentLength == 0 {
 		return nil, 0, nil
 	}
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := control.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
 		return nil, http.StatusBadRequest, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,12 +19,12 @@
 	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
 	spareCallers     = 16                     // of them, for callers that have come before an idle one is closed
 	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
-	drainMost        = 20 * time.Second       // no deadline is longer
 )
 
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
 	server    *http.Server
+	callers   *server
 	listener  net.Listener
 	loop      *loop
 	upstream  *upstream
@@ -52,7 +52,7 @@
 	known.Full = true // the list as it was last had, and the first that the module hears
 	l.list(l.clock.now(), known)
 
-	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log,
+	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout,
 		conns: connTable{most: max(each, 8), idle: map[net.Conn]time.Time{}, open: map[net.Conn]bool{}}}
 	for _, class := range settings.Classes {
 		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
@@ -60,7 +60,7 @@
 	log.Info("listening", "addr", listener.Addr().String())
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	bounded := netutil.LimitListener(listener, max(each, 8)+spareCallers)
-	return &Sidecar{server: s.http(), listener: bounded, loop: l, upstream: up, discovery: d}, nil
+	return &Sidecar{server: s.http(), callers: s, listener: bounded, loop: l, upstream: up, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
@@ -91,12 +91,8 @@
 func (s *Sidecar) drain(served <-chan error) error {
 	time.Sleep(acceptAfterTerm)
 	s.server.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), drainMost)
-	defer cancel()
-	err := s.server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) { // only connections that never brought a request are left
-		err = s.server.Close()
-	}
+	// No limit of time: requests end by their deadlines, and net/http closes connections that bring none.
+	err := s.server.Shutdown(context.Background())
 	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
 		err = e
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -14,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"tuliprock"
 )
 
 const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
@@ -31,14 +33,19 @@
 
 // run starts a sidecar before the endpoints given, named a, b, ... Its discovery never says anything.
 func run(t *testing.T, addrs ...string) *running {
+	t.Helper()
+	return runWithin(t, "{}", addrs...)
+}
+
+func runWithin(t *testing.T, limits string, addrs ...string) *running {
 	t.Helper()
 	silent := httptest.NewServer(&script{calls: make(chan string, 100)})
 	var list []string
 	for i, addr := range addrs {
 		list = append(list, member(string(rune('a'+i)), addr, "Ready"))
 	}
-	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,"settings":%s}`,
-		silent.Listener.Addr(), members(1, true, list...), laneSettings)
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
+		silent.Listener.Addr(), limits, members(1, true, list...), laneSettings)
 	c, err := parseConfig([]byte(text), noEnv)
 	if err != nil {
 		t.Fatal(err)
@@ -49,8 +56,12 @@
 	}
 	ctx, term := context.WithCancel(context.Background())
 	r := &running{Sidecar: s, addr: s.Addr().String(), term: term, ended: make(chan error, 1)}
-	go func() { r.ended <- s.Serve(ctx); silent.Close() }()
-	t.Cleanup(func() { term() })
+	go func() { r.ended <- s.Serve(ctx); close(r.ended) }()
+	t.Cleanup(func() {
+		term()
+		<-r.ended
+		silent.Close()
+	})
 	return r
 }
 
@@ -362,20 +373,7 @@
 // Idle callers must give way when connections run short, and none may be lost.
 func TestIdleCallersGiveWay(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","limits":{"sockets":64},"known":%s,"settings":%s}`,
-		members(1, true, member("a", e.addr, "Ready")), laneSettings)
-	c, err := parseConfig([]byte(text), noEnv)
-	if err != nil {
-		t.Fatal(err)
-	}
-	side, err := Start(c, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, term := context.WithCancel(context.Background())
-	defer term()
-	go side.Serve(ctx)
-	s := &running{Sidecar: side, addr: side.Addr().String()}
+	s := runWithin(t, `{"sockets":64}`, e.addr)
 	for i := range 100 { // far over the limit
 		_, _, resp := keep(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000))
 		if resp.StatusCode != http.StatusOK {
@@ -401,3 +399,51 @@
 		t.Errorf("now: %v", now)
 	}
 }
+
+// A body that never ends must not hold its connection, whatever else is wrong with the request.
+func TestAnUnfinishedBodyIsGivenUp(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	s.callers.bodyTimeout = 100 * time.Millisecond
+	for name, fields := range map[string]string{"good": "Req-Id: r1\r\nReq-Deadline-Ms: 60000\r\n", "no id": ""} {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(nc, "POST /look HTTP/1.1\r\nHost: h\r\n"+fields+"Content-Length: 9\r\n\r\nhalf")
+		nc.SetReadDeadline(time.Now().Add(patience))
+		text, err := io.ReadAll(nc) // to the end of the connection
+		if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 400 ") {
+			t.Errorf("%s: %q, %v", name, text, err)
+		}
+		nc.Close()
+	}
+	if n := e.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+}
+
+// rearming asks for a timer that is due at once, each time one rings.
+type rearming struct {
+	tuliprock.Events
+	host  tuliprock.Host
+	rings int
+}
+
+func (r *rearming) Timer(now time.Duration) {
+	r.rings++
+	r.host.Timer(now)
+}
+
+// A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
+func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
+	l := newLoop(tuliprock.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	r := &rearming{host: host{l}}
+	l.balancer = r
+	r.host.Timer(clockStart)
+	r.host.Timer(clockStart + 1)
+	l.handle(l.ring)
+	if r.rings != 2 || len(l.timers) != 2 {
+		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
+	}
+}
