Never close a caller's connection on which a request has come

Causes, each checked before it was mended: - server.go, connTable.closeIdlest closed by net/http's state, which turns active only after the head was read whole (net/http server.go, 1989-1993). Ruled out: running out of descriptors (89 of 128 at most), memory (14 MB), a caller that left.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"tuliprock"
@@ -41,26 +41,29 @@
 	keyed map[string]bool // classes whose requests carry a key
 	host  string          // stands in where an HTTP/1.0 caller names no host
 	log   *slog.Logger
-	conns connTable
 
 	bodyTimeout time.Duration
+	ending      atomic.Bool // answers close their connections
 }
 
-func (s *server) http() *http.Server {
+func (s *server) http(track func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: maxHead,
-		ConnState: s.conns.track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
+		ConnState: track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.loop.clock.now()
+	w = &closing{w, &s.ending}
 	// The body comes first: net/http would wait without limit for the rest of one that was not read.
 	body, status, err := s.readBody(w, r)
 	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body may still come
 		http.Error(w, err.Error(), status)
 		return
 	}
 	if r.URL.Path == healthPath {
+		w.WriteHeader(http.StatusOK)
 		_, _ = io.WriteString(w, "ok\n")
 		return
 	}
@@ -80,6 +83,23 @@
 	}
 }
 
+// closing is a ResponseWriter that says Connection: close once the sidecar is about to end.
+type closing struct {
+	http.ResponseWriter
+	ending *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closing) WriteHeader(status int) {
+	if w.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController find the writer beneath.
+func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // read makes a call of a request, or says what is wrong with it.
 func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*call, int, error) {
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
@@ -182,49 +202,3 @@
 	w.WriteHeader(r.status)
 	_, _ = w.Write(body)
 }
-
-// connTable bounds the callers' connections: over the limit, the one idle for longest is closed. A caller whose
-// request crosses that sends it once more on a new one.
-type connTable struct {
-	most int
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	open map[net.Conn]bool
-}
-
-// track follows a connection's state for http.Server.
-func (t *connTable) track(c net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		t.open[c] = true
-		if len(t.open) > t.most {
-			t.closeIdlest()
-		}
-	case http.StateIdle:
-		t.idle[c] = time.Now()
-		if len(t.open) > t.most {
-			t.closeIdlest()
-		}
-	case http.StateActive:
-		delete(t.idle, c)
-	default:
-		delete(t.idle, c)
-		delete(t.open, c)
-	}
-}
-
-// closeIdlest closes the connection that has been idle for longest. t.mu is held.
-func (t *connTable) closeIdlest() {
-	var idlest net.Conn
-	for c, at := range t.idle {
-		if idlest == nil || at.Before(t.idle[idlest]) {
-			idlest = c
-		}
-	}
-	if idlest != nil {
-		delete(t.idle, idlest)
-		idlest.Close()
-	}
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -25,7 +25,7 @@
 type Sidecar struct {
 	server    *http.Server
 	callers   *server
-	listener  net.Listener
+	conns     *callers
 	loop      *loop
 	upstream  *upstream
 	discovery *discovery
@@ -52,19 +52,19 @@
 	known.Full = true // the list as it was last had, and the first that the module hears
 	l.list(l.clock.now(), known)
 
-	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout,
-		conns: connTable{most: max(each, 8), idle: map[net.Conn]time.Time{}, open: map[net.Conn]bool{}}}
+	log.Info("listening", "addr", listener.Addr().String())
+	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
+	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
+
+	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
 		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
 	}
-	log.Info("listening", "addr", listener.Addr().String())
-	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	bounded := netutil.LimitListener(listener, max(each, 8)+spareCallers)
-	return &Sidecar{server: s.http(), callers: s, listener: bounded, loop: l, upstream: up, discovery: d}, nil
+	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
-func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
+func (s *Sidecar) Addr() net.Addr { return s.conns.Addr() }
 
 // Serve serves until ctx ends and then until all that was taken has been answered.
 func (s *Sidecar) Serve(ctx context.Context) error {
@@ -77,7 +77,7 @@
 	defer stop()
 
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(s.listener) }()
+	go func() { served <- s.server.Serve(s.conns) }()
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
@@ -87,14 +87,12 @@
 }
 
 // drain ends the callers' side. It guards against losing what the kernel has accepted: for a while new connections
-// are taken as before; then answers say Connection: close, and idle connections are closed.
+// are taken as before; then answers say Connection: close, and idle connections are closed. There is no limit of
+// time: requests end by their deadlines, and net/http closes connections that bring none.
 func (s *Sidecar) drain(served <-chan error) error {
 	time.Sleep(acceptAfterTerm)
-	s.server.SetKeepAlivesEnabled(false)
-	// No limit of time: requests end by their deadlines, and net/http closes connections that bring none.
-	err := s.server.Shutdown(context.Background())
-	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
-		err = e
-	}
-	return err
+	s.callers.ending.Store(true)
+	err := s.conns.finish()
+	<-served // the listener is closed
+	return errors.Join(err, s.server.Close())
 }
