Turn away what can't be trusted before it is read further

Cause: net/http deletes Content-Length where Transfer-Encoding stands too, ends the body at the last chunk and reads what follows as a new request (server.go, ServeHTTP, saw neither). A class that the settings don't name went to the module and on to endpoints (server.go, read). Head and body had 15 s (headTimeout, bodyTimeout) where 3 s are owed; an announced length was never looked at; after each 4xx the same connection could go on at once.

Checked and ruled out: several Transfer-Encoding fields, unknown codings, folded ones, two lengths: net/http itself answers these and closes. HTTP/1.0, where it ignores the field, is now turned away but for the health path.

Mended: any Transfer-Encoding is 411, too long a Content-Length 413 unread, an unlisted class 404, a method that its class doesn't have 405, each with a close; head 1.5 s, body 1 s. The target goes on byte for byte; it was parsed and written anew. Rejected requests reach neither the module nor an endpoint.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -28,18 +27,17 @@
 	healthPath   = "/_health"
 	maxID        = 256
 	maxDeadline  = time.Hour
-	wayBack      = 10 * time.Millisecond // kept of a deadline for the way here and back: 0.4 ms here (p99), the rest the network's
-	headTimeout  = 10 * time.Second
-	bodyTimeout  = 5 * time.Second
+	wayBack      = 10 * time.Millisecond   // kept of a deadline for the way here and back: 0.4 ms here (p99), the rest the network's
+	headTimeout  = 1500 * time.Millisecond // from the accept, or a request's first bytes, to the end of its head
+	bodyTimeout  = time.Second             // and on to the end of its body: a bad caller is owed an end within 3 s
 	writeTimeout = 5 * time.Second
-	callersIdle  = 5 * time.Minute
+	callersIdle  = 5 * time.Second // some callers ask once and keep their connection for good
 )
 
 // server is the callers' side.
 type server struct {
 	loop  *loop
-	keyed map[string]bool // classes whose requests carry a key
-	host  string          // stands in where an HTTP/1.0 caller names no host
+	class map[string]tuliprock.Effect // the classes that are served
 	log   *slog.Logger
 
 	bodyTimeout time.Duration
@@ -55,11 +53,14 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.loop.clock.now()
 	w = &closing{w, &s.ending}
-	// The body comes first: net/http would wait without limit for the rest of one that was not read.
+	// The framing comes first: nothing may be read as a request that stands in another's body.
+	if status, err := checkFraming(r); err != nil {
+		reject(w, status, err)
+		return
+	}
 	body, status, err := s.readBody(w, r)
 	if err != nil {
-		w.Header().Set("Connection", "close") // the rest of the body may still come
-		http.Error(w, err.Error(), status)
+		reject(w, status, err)
 		return
 	}
 	if r.URL.Path == healthPath {
@@ -69,7 +70,7 @@
 	}
 	c, status, err := s.read(r, body, arrived)
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		reject(w, status, err)
 		return
 	}
 	s.loop.post(func(now time.Duration) { s.loop.start(now, c) })
@@ -83,6 +84,27 @@
 	}
 }
 
+// reject turns a request away that reaches no endpoint, and its connection with it: what follows on that can't be
+// trusted, and a caller that sends the same again must connect anew.
+func reject(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+// checkFraming turns away what could be read in two ways. net/http drops Content-Length where Transfer-Encoding
+// stands too, and would read what is left of the body as a new request; callers send lengths.
+func checkFraming(r *http.Request) (int, error) {
+	switch {
+	case !r.ProtoAtLeast(1, 1) && r.URL.Path != healthPath: // net/http ignores Transfer-Encoding there
+		return http.StatusBadRequest, errors.New("HTTP/1.1 is wanted")
+	case len(r.TransferEncoding) > 0:
+		return http.StatusLengthRequired, errors.New("Transfer-Encoding: a Content-Length is wanted")
+	case r.ContentLength > maxBody:
+		return http.StatusRequestEntityTooLarge, errors.New("the body is too long")
+	}
+	return 0, nil
+}
+
 // closing is a ResponseWriter that says Connection: close once the sidecar is about to end.
 type closing struct {
 	http.ResponseWriter
@@ -102,8 +124,9 @@
 
 // read makes a call of a request, or says what is wrong with it.
 func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*call, int, error) {
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s is not served", r.Method)
+	class, status, err := s.checkClass(r, body)
+	if err != nil {
+		return nil, status, err
 	}
 	id, err := one(r.Header, "Req-Id")
 	if err != nil || len(id) > maxID {
@@ -113,22 +136,54 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+	ms, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || ms < 1 || ms > uint64(maxDeadline.Milliseconds()) {
 		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", deadlineName, text)
 	}
-	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if s.keyed[class] && r.Header.Get("Idempotency-Key") == "" { // endpoints could not drop its repeats
-		return nil, http.StatusBadRequest, errors.New("Idempotency-Key: missing")
-	}
 	return &call{
 		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
-		message: &message{method: r.Method, url: r.URL, host: cmp.Or(r.Host, s.host), header: endToEnd(r.Header), body: body},
+		message: &message{method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
 		replies: make(chan reply, 1),
 	}, 0, nil
 }
 
+// checkClass finds a request's class and holds the request to what endpoints take of it. A class that the settings
+// don't name must reach neither the module nor an endpoint: nobody knows what repeating it may do.
+func (s *server) checkClass(r *http.Request, body []byte) (class string, status int, err error) {
+	if !isTarget(r.RequestURI) {
+		return "", http.StatusBadRequest, errors.New("the target is no plain path")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	class, _, _ = strings.Cut(path[1:], "/")
+	effect, ok := s.class[class]
+	switch {
+	case !ok:
+		return "", http.StatusNotFound, fmt.Errorf("class %.40q is not served", class)
+	case r.Method != methodOf(effect):
+		return "", http.StatusMethodNotAllowed, fmt.Errorf("method %.40q is not served here", r.Method)
+	case effect == tuliprock.Safe && len(body) > 0:
+		return "", http.StatusBadRequest, errors.New("a body is not wanted here")
+	case effect == tuliprock.Keyed: // without a key endpoints could not drop its repeats
+		if _, err := one(r.Header, "Idempotency-Key"); err != nil {
+			return "", http.StatusBadRequest, err
+		}
+	}
+	return class, 0, nil
+}
+
+func methodOf(e tuliprock.Effect) string {
+	if e == tuliprock.Safe {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+// isTarget tells whether a request's target is a path that can go on to an endpoint as it is.
+func isTarget(target string) bool {
+	return strings.HasPrefix(target, "/") && !strings.ContainsFunc(target, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
 // one gives the value of a header that must come exactly once.
 func one(h http.Header, name string) (string, error) {
 	v := h.Values(name)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -56,9 +56,9 @@
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
 
-	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
+	s := &server{loop: l, class: map[string]tuliprock.Effect{}, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
-		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
+		s.class[class.Name] = class.Effect
 	}
 	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d}, nil
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -149,22 +149,17 @@
 
 // What can't have run may be refused; what may have run is failed, and sent only once.
 func TestUnsafeWorkIsNotResentAndNotRefused(t *testing.T) {
-	for name, row := range map[string]struct {
-		path string
-		want int
-	}{"unsafe": {"/pay", statusFailed}, "a class that nobody listed": {"/new", statusFailed}} {
-		e := newEndpoint(t, says("", false))
-		s := run(t, e.addr, e.addr, e.addr)
-		if status, _, _ := ask(t, s.request(t, http.MethodPost, row.path, "r1", 4000)); status != row.want {
-			t.Errorf("%s: %d", name, status)
-		}
-		if n := e.requests.Load(); n != 1 {
-			t.Errorf("%s: sent %d times", name, n)
-		}
+	e := newEndpoint(t, says("", false))
+	s := run(t, e.addr, e.addr, e.addr)
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != statusFailed {
+		t.Errorf("may have run: %d", status)
+	}
+	if n := e.requests.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
 	}
 	closed := newEndpoint(t, says("", false))
 	closed.listener.Close()
-	s := run(t, closed.addr)
+	s = run(t, closed.addr)
 	status, _, h := ask(t, s.request(t, http.MethodPost, "/pay", "r2", 4000))
 	if status != statusRefused || h.Get("Retry-After") == "" {
 		t.Errorf("never ran: %d %v", status, h)
@@ -246,11 +241,20 @@
 		"a deadline of nothing":     "GET /look" + host + id + "Req-Deadline-Ms: 0\r\n\r\n",
 		"a negative deadline":       "GET /look" + host + id + "Req-Deadline-Ms: -5\r\n\r\n",
 		"an endless deadline":       "GET /look" + host + id + "Req-Deadline-Ms: 99999999999999999999\r\n\r\n",
-		"a negative length":         "POST /look" + host + id + ms + "Content-Length: -1\r\n\r\n",
-		"a length that's no number": "POST /look" + host + id + ms + "Content-Length: x\r\n\r\n",
-		"an over-long body":         "POST /look" + host + id + ms + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
-		"an over-long chunked body": "POST /look" + host + id + ms + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n0\r\n\r\n",
-		"a bad chunk":               "POST /look" + host + id + ms + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"a negative length":         "POST /pay" + host + id + ms + "Content-Length: -1\r\n\r\n",
+		"a length that's no number": "POST /pay" + host + id + ms + "Content-Length: x\r\n\r\n",
+		"an over-long body":         "POST /pay" + host + id + ms + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
+		"a huge length, no body":    "POST /pay" + host + id + ms + "Content-Length: 3000000000\r\n\r\n",
+		"chunks":                    "POST /pay" + host + id + ms + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"HTTP/1.0":                  "GET /look HTTP/1.0\r\nHost: h\r\n" + id + ms + "\r\n",
+		"a class that nobody named": "POST /new" + host + id + ms + "Content-Length: 0\r\n\r\n",
+		"a class in disguise":       "GET /loo%6b" + host + id + ms + "\r\n",
+		"a whole URL":               "GET http://h/look" + host + id + ms + "\r\n",
+		"a target not in ASCII":     "GET /look/\xff" + host + id + ms + "\r\n",
+		"a safe class by POST":      "POST /look" + host + id + ms + "Content-Length: 0\r\n\r\n",
+		"a keyed class by GET":      "GET /book" + host + id + ms + "Idempotency-Key: k\r\n\r\n",
+		"two keys":                  "POST /book" + host + id + ms + "Idempotency-Key: k\r\nIdempotency-Key: l\r\nContent-Length: 0\r\n\r\n",
+		"a safe class with a body":  "GET /look" + host + id + ms + "Content-Length: 2\r\n\r\nhi",
 		"an over-long head":         "GET /look" + host + id + ms + "X: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
 		"a keyed class with no key": "POST /book" + host + id + ms + "Content-Length: 0\r\n\r\n",
 		"another method":            "DELETE /look" + host + id + ms + "\r\n",
@@ -410,7 +414,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		io.WriteString(nc, "POST /look HTTP/1.1\r\nHost: h\r\n"+fields+"Content-Length: 9\r\n\r\nhalf")
+		io.WriteString(nc, "POST /pay HTTP/1.1\r\nHost: h\r\n"+fields+"Content-Length: 9\r\n\r\nhalf")
 		nc.SetReadDeadline(time.Now().Add(patience))
 		text, err := io.ReadAll(nc) // to the end of the connection
 		if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 400 ") {
@@ -447,3 +451,46 @@
 		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
 	}
 }
+
+// Seen on a day of bad callers: net/http drops Content-Length beside Transfer-Encoding, and what stood in the body
+// behind the last chunk went on to endpoints as a request of its own.
+func TestARequestHiddenInABodyGoesNowhere(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	const fields = " HTTP/1.1\r\nHost: h\r\nReq-Deadline-Ms: 60000\r\n"
+	hidden := "0\r\n\r\nPOST /pay" + fields + "Req-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+	for name, framing := range map[string]string{
+		"both":             "Content-Length: %d\r\nTransfer-Encoding: chunked\r\n",
+		"the other order":  "Transfer-Encoding: chunked\r\nContent-Length: %d\r\n",
+		"in other letters": "Content-Length: %d\r\ntransfer-encoding:\tChunked\r\n",
+		"folded":           "Content-Length: %d\r\nTransfer-Encoding:\r\n chunked\r\n",
+		"of no known kind": "Content-Length: %d\r\nTransfer-Encoding: xchunked\r\n",
+		"twice":            "Content-Length: %d\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"two lengths":      "Content-Length: %d\r\nContent-Length: 0\r\n",
+		"too long":         "X-Length: %d\r\nContent-Length: 99999999\r\n",
+	} {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(nc, "POST /pay"+fields+"Req-Id: outer\r\n"+framing+"\r\n%s", len(hidden), hidden)
+		in := bufio.NewReader(nc)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else {
+			io.Copy(io.Discard, resp.Body)
+			if resp.StatusCode < 400 {
+				t.Errorf("%s: status %d", name, resp.StatusCode)
+			}
+			if b, err := in.ReadByte(); err == nil {
+				t.Errorf("%s: the connection goes on with %q", name, b)
+			}
+		}
+		nc.Close()
+	}
+	if n := e.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -5,11 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -32,7 +31,7 @@
 // message is a request as it goes on to endpoints.
 type message struct {
 	method string
-	url    *url.URL
+	target string
 	host   string
 	header http.Header
 	body   []byte
@@ -291,10 +290,7 @@
 
 // exchange writes the request and reads the whole answer.
 func (c *conn) exchange(ctx context.Context, m *message) (r tuliprock.Result, a answer, reusable bool) {
-	text, err := m.bytes(ctx)
-	if err != nil {
-		return tuliprock.NotSent, answer{}, false
-	}
+	text := m.bytes(ctx)
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
 		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}, false
@@ -341,17 +337,21 @@
 	return nil, nil, errors.New("too many interim answers")
 }
 
-// bytes is the request as written to an endpoint. Its deadline says how long this sidecar waits.
-func (m *message) bytes(ctx context.Context) ([]byte, error) {
-	header := m.header.Clone()
+// bytes is the request as written to an endpoint, with a length and no other framing. Its deadline says how long
+// this sidecar waits.
+func (m *message) bytes(ctx context.Context) []byte {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
+	skip := map[string]bool{"Content-Length": true, "Host": true}
 	if at, ok := ctx.Deadline(); ok {
-		header.Set(deadlineName, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+		skip[deadlineName] = true
+		fmt.Fprintf(&text, "%s: %d\r\n", deadlineName, max(time.Until(at).Milliseconds(), 1))
 	}
-	r := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header, ContentLength: int64(len(m.body))}
-	if len(m.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(m.body))
+	if len(m.body) > 0 || m.method != http.MethodGet {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(m.body))
 	}
-	var text bytes.Buffer
-	err := r.Write(&text)
-	return text.Bytes(), err
+	_ = m.header.WriteSubset(&text, skip) // a Buffer takes all
+	text.WriteString("\r\n")
+	text.Write(m.body)
+	return text.Bytes()
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,7 +82,7 @@
 }
 
 func get(path string) *message {
-	return &message{method: http.MethodGet, url: &url.URL{Path: path}, host: "api.internal", header: http.Header{"Req-Id": {"r1"}}}
+	return &message{method: http.MethodGet, target: path, host: "api.internal", header: http.Header{"Req-Id": {"r1"}}}
 }
 
 func ctxFor(t *testing.T, d time.Duration) context.Context {
