SIGHUP reads the configuration again and moves discovery

Cause: cmd/tuliprock/main.go caught SIGTERM and SIGINT only, so the runtime's default ended it; nothing could read a configuration again, and discovery.go had no way to leave its address. A silent first ask would have held it for 5 s (watchSilence), over the 4 s owed.

Mended: the signal is caught before the configuration is read. A good file moves discovery: the old watch ends at once, the whole list is asked anew at the new address, the old list and all that was learned stay. A bad file is logged and changes nothing. The first word of an answer is waited for 1.2 s (2.5 s where discovery is asked), then asked again.

--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -27,8 +27,11 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT has come and all that was taken has been answered.
+// run serves until SIGTERM or SIGINT has come and all that was taken has been answered. SIGHUP reads the
+// configuration again.
 func run() error {
+	hup := make(chan os.Signal, 1) // before all else: uncaught, the signal ends the program
+	signal.Notify(hup, syscall.SIGHUP)
 	c, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -44,5 +47,18 @@
 	if err != nil {
 		return err
 	}
+	go reload(s, hup, log)
 	return s.Serve(ctx)
 }
+
+// reload reads the configuration again after each signal, for as long as the program runs. A bad one changes nothing.
+func reload(s *sidecar.Sidecar, hup <-chan os.Signal, log *slog.Logger) {
+	for range hup {
+		c, err := sidecar.LoadConfig(os.Getenv)
+		if err != nil {
+			log.Error("the new configuration is not taken up", "err", err)
+			continue
+		}
+		s.Reload(c)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -21,6 +21,8 @@
 	membersPath  = "/catalog/members"
 	maxList      = 4 << 20 // bytes of a list or a line of changes
 	watchSilence = 5 * time.Second
+	askPushed    = 1200 * time.Millisecond // for the first word of an answer: an agent on this machine answers at once,
+	askQueued    = 2500 * time.Millisecond // a service that is asked works through calls in turn
 	retryLeast   = 50 * time.Millisecond
 	retryMost    = time.Second
 	complainGap  = 10 * time.Second // between two log lines about discovery
@@ -83,15 +85,37 @@
 	addr    string
 	onAsk   bool          // only a Subscribe starts a watch, and its end is reported
 	asked   chan struct{} // a Subscribe waits here
+	moves   chan string   // the latest address to move to waits here
 	version *int64        // of the latest message; nil: the whole list is wanted
 	deliver func(Members)
 	failed  func()
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration // after which a watch is given up
+	patient time.Duration // how long the first word of an answer is waited for
 	spokeAt time.Time
 }
 
+func newDiscovery(addr string, version *int64, onAsk bool, log *slog.Logger) *discovery {
+	d := &discovery{addr: addr, version: version, onAsk: onAsk, log: log, silence: watchSilence, patient: askPushed,
+		asked: make(chan struct{}, 1), moves: make(chan string, 1),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if onAsk {
+		d.patient = askQueued
+	}
+	return d
+}
+
+// move leaves the present address for another. It does not block; a move that waits gives way to this one. It must
+// not be called by two at once.
+func (d *discovery) move(addr string) {
+	select {
+	case <-d.moves:
+	default:
+	}
+	d.moves <- addr
+}
+
 // subscribe asks for a watch. It does not block.
 func (d *discovery) subscribe() {
 	select {
@@ -100,24 +124,47 @@
 	}
 }
 
-// run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
-// has changed since.
+// run follows discovery until ctx ends. A move ends the watch at once and asks for the whole list at the new
+// address: what was missed meanwhile can't be known there. The old list stands until it comes.
 func (d *discovery) run(ctx context.Context) {
-	gap := retryLeast
+	due := !d.onAsk // a watch is wanted, without a further Subscribe
 	for ctx.Err() == nil {
-		if d.onAsk {
+		here, leave := context.WithCancel(ctx)
+		ended := make(chan bool, 1)
+		go func() { ended <- d.stay(here, due) }()
+		select {
+		case <-ctx.Done():
+			leave()
+			<-ended
+		case addr := <-d.moves:
+			leave()
+			due = <-ended
+			if addr != d.addr {
+				d.addr, d.version = addr, nil
+			}
+		}
+	}
+}
+
+// stay keeps a watch at the present address until ctx ends, and tells whether one was wanted then. A watch that
+// breaks leaves the old list standing; the next one asks for what has changed since.
+func (d *discovery) stay(ctx context.Context, due bool) bool {
+	gap := retryLeast
+	for {
+		if !due {
 			select {
 			case <-ctx.Done():
-				return
+				return false
 			case <-d.asked:
 			}
 		}
 		heard, err := d.follow(ctx)
 		if ctx.Err() != nil {
-			return
+			return true
 		}
 		d.complain(err)
 		if d.onAsk {
+			due = false
 			d.failed()
 			continue
 		}
@@ -150,20 +197,21 @@
 func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(d.silence, cancel)
+	watchdog := time.AfterFunc(d.patient, cancel)
 	defer watchdog.Stop()
 	if d.version == nil {
 		if err := d.list(ctx); err != nil {
 			return false, err
 		}
 		heard = true
-		watchdog.Reset(d.silence)
+		watchdog.Reset(d.patient)
 	}
 	body, err := d.get(ctx, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
 	if err != nil {
 		return heard, err
 	}
 	defer body.Close()
+	watchdog.Reset(d.silence)
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4<<10), maxList)
 	for lines.Scan() {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -52,12 +52,11 @@
 
 func follow(t *testing.T, version int64, change func(*discovery), steps ...string) *followed {
 	s := &script{steps: steps, calls: make(chan string, 100)}
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
+	addr := serveDiscovery(t, s)
 	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.calls}
-	f.discovery = &discovery{addr: server.Listener.Addr().String(), asked: make(chan struct{}, 1), version: &version,
-		deliver: func(m Members) { f.got <- m }, failed: func() { f.failures <- true }, silence: patience,
-		log: slog.New(slog.DiscardHandler), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.discovery = newDiscovery(addr, &version, false, slog.New(slog.DiscardHandler))
+	f.deliver, f.failed = func(m Members) { f.got <- m }, func() { f.failures <- true }
+	f.silence, f.patient = patience, patience
 	if change != nil {
 		change(f.discovery)
 	}
@@ -150,3 +149,74 @@
 		t.Errorf("%+v", m)
 	}
 }
+
+// another is a further discovery to move to.
+func another(t *testing.T, steps ...string) (addr string, calls chan string) {
+	s := &script{steps: steps, calls: make(chan string, 100)}
+	return serveDiscovery(t, s), s.calls
+}
+
+func serveDiscovery(t *testing.T, h http.Handler) (addr string) {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections() // a watch may still be open
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+// The old watch must end at once, and the new address be asked for all: its versions say nothing of what was missed.
+func TestAMoveAsksForTheWholeListElsewhere(t *testing.T) {
+	for name, onAsk := range map[string]bool{"pushed": false, "asked": true} {
+		t.Run(name, func(t *testing.T) {
+			f := follow(t, 41, func(d *discovery) { d.onAsk = onAsk; d.subscribe() }, members(42, false)+"\nSILENT")
+			f.expectVersions(t, 42)
+			addr, calls := another(t, members(7, true), members(8, false)+"\nSILENT")
+			f.move(addr)
+			f.expectVersions(t, 7, 8)
+			f.calls = calls
+			f.expectCalls(t, "", "watch=1&after=7")
+			if len(f.failures) > 0 {
+				t.Error("a move passed for a failure")
+			}
+		})
+	}
+}
+
+// Moves may come before the last one is done, to an address that says nothing, or to the same.
+func TestTheLastOfManyMovesCounts(t *testing.T) {
+	f := follow(t, 41, nil, members(42, false)+"\nSILENT")
+	f.expectVersions(t, 42)
+	mute, heard := another(t)
+	f.move(mute)
+	<-heard
+	watched := make(chan bool, 100)
+	addr := serveDiscovery(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			io.WriteString(w, members(7, true))
+			return
+		}
+		watched <- true
+		<-r.Context().Done()
+	}))
+	for range 3 {
+		f.move(mute)
+		f.move(addr)
+	}
+	f.expectVersions(t, 7)
+	<-watched
+	f.move(addr)
+	<-watched
+}
+
+// All has to be told again within 4 s of a move, though the first call meets silence.
+func TestACallThatMeetsSilenceIsMadeAgain(t *testing.T) {
+	f := follow(t, 41, func(d *discovery) { d.patient = 200 * time.Millisecond }, "SILENT")
+	mute, calls := another(t)
+	f.move(mute)
+	<-calls
+	<-calls
+	if 2*askPushed+retryLeast > 3*time.Second {
+		t.Errorf("two calls in vain take %v each", askPushed)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	loop      *loop
 	upstream  *upstream
 	discovery *discovery
+	config    Config
+	log       *slog.Logger
 }
 
 // Start wires the parts and opens the listener; Serve does the work.
@@ -41,8 +43,7 @@
 	settings.MayProbe = false // probing endpoints is ruled out
 	each := (c.Limits.Sockets - otherDescriptors) / 2
 	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, max(each, 8))
-	d := &discovery{addr: c.Discovery, onAsk: settings.MustSubscribe, asked: make(chan struct{}, 1), version: c.Known.Version,
-		log: log, silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	d := newDiscovery(c.Discovery, c.Known.Version, settings.MustSubscribe, log)
 	l := newLoop(settings, up, d.subscribe, log)
 	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
 	d.failed = func() {
@@ -60,7 +61,20 @@
 	for _, class := range settings.Classes {
 		s.class[class.Name] = class.Effect
 	}
-	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d}, nil
+	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d, config: c, log: log}, nil
+}
+
+// Reload takes up a new configuration as far as a running sidecar can: discovery moves, the list and all that the
+// module has learned stay. It does no harm at any time, also during the end. It must not be called by two at once.
+func (s *Sidecar) Reload(c Config) {
+	s.log.Info("configuration read again", "discovery", c.Discovery, "moves", c.Discovery != s.config.Discovery)
+	if c.Listen != s.config.Listen || c.Limits != s.config.Limits {
+		s.log.Warn("listen and limits change with a restart only")
+	}
+	if c.Discovery != s.config.Discovery {
+		s.config.Discovery = c.Discovery
+		s.discovery.move(c.Discovery)
+	}
 }
 
 // Addr is where the sidecar listens.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -494,3 +494,43 @@
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
+
+// Seen on a day of new configurations: SIGHUP ended the program. Endpoints learned from the new discovery serve, the
+// request in flight is answered, and further reloads, also during the end, do no harm.
+func TestAReloadMovesDiscoveryAndDisturbsNothing(t *testing.T) {
+	came, release := make(chan bool), make(chan bool)
+	old := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		came <- true
+		<-release
+		io.WriteString(nc, served)
+		return true
+	})
+	s := run(t, old.addr)
+	first := make(chan int)
+	go func() {
+		status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 60000))
+		first <- status
+	}()
+	<-came
+	fresh := newEndpoint(t, says(served, true))
+	c := s.config
+	var calls chan string
+	c.Discovery, calls = another(t, members(1, true, member("new", fresh.addr, "Ready")), "SILENT")
+	s.Reload(c)
+	<-calls
+	<-calls // the watch: the list is in force
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r2", 60000)); status != http.StatusOK || fresh.requests.Load() != 1 {
+		t.Errorf("after the move: %d, %d requests at the new endpoint", status, fresh.requests.Load())
+	}
+	s.Reload(c)
+	s.term()
+	c.Discovery, _ = another(t)
+	s.Reload(c)
+	close(release)
+	if status := <-first; status != http.StatusOK {
+		t.Errorf("in flight: %d", status)
+	}
+	if err := <-s.ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
