Tell spoilt answers from restarts, end the wait for them, and let connections rest

Seen: every answer that can't be read was a Reset (upstream.go, exchange and broken), which the module takes for a restart: the endpoint counts as cold. One that stopped in its middle was waited for until the deadline. A shortage of descriptors or an unknown address was ConnectFailed, a sample against a sound endpoint.

Nothing in an answer shows which request it belongs to (244 compared with id and body of their requests), so only what comes before a request is written can tell. In the window between that look and the write a second copy may still come; a loopback test that sends one there is served the wrong answer without the rest.

Mended: a spoilt answer is an error of an endpoint that runs; a begun answer has 0.5 s to end; heads are held to the letter (CR LF, no folds, one framing, no 101) before net/http reads them; announced lengths are bounded; what is lacking here is NotSent. The request's text is made first, a connection rests 2 ms after an answer (a rested one goes first), and is looked at right before the write.

Ruled out: load reports that can't be read and interim answers don't disturb (logged, served).

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,11 +20,14 @@
 const (
 	maxBody      = 64 << 10 // of a request or an answer
 	maxHead      = 16 << 10
-	maxInterim   = 8 // 1xx answers ahead of the one that counts
+	maxAnswered  = 8 << 10                // of an answer's head
+	maxInterim   = 8                      // 1xx answers ahead of the one that counts
+	answerWhole  = 500 * time.Millisecond // from an answer's first byte to its last
 	sweepEvery   = time.Second
 	defaultIdle  = 15 * time.Second
 	defaultDial  = 250 * time.Millisecond
-	idleShare    = 0.9 // of the endpoint's idle limit, after which a connection is no longer used
+	idleShare    = 0.9                  // of the endpoint's idle limit, after which a connection is no longer used
+	restAfter    = 2 * time.Millisecond // rest of a connection between an answer and the next request
 	declined     = "Srv-Declined"
 	deadlineName = "Req-Deadline-Ms"
 )
@@ -47,7 +51,8 @@
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
 type upstream struct {
 	idleFor, dialTimeout time.Duration
-	most                 int // connections open at once
+	settle               time.Duration // rest of a connection after an answer
+	most                 int           // connections open at once
 
 	mu    sync.Mutex
 	open  int
@@ -79,7 +84,7 @@
 	if dial <= 0 {
 		dial = defaultDial
 	}
-	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, most: most, pools: map[string]*pool{}}
+	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, settle: restAfter, most: most, pools: map[string]*pool{}}
 }
 
 // setMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
@@ -172,12 +177,30 @@
 	return err == nil && quiet
 }
 
-// take returns an idle connection to the endpoint, or else dials one.
+// take returns an idle connection to the endpoint, or else dials one. Nothing in an answer shows which request it
+// belongs to: whatever comes before ours is written must be seen before, and the connection dropped. A second copy
+// may come a little after the first, so a connection rests for a moment, and is looked at last thing.
 func (u *upstream) take(ctx context.Context, id string) (*conn, error) {
-	p, addr, c, err := u.reserve(id)
-	if c != nil || err != nil {
-		return c, err
+	for {
+		p, addr, c, err := u.reserve(id)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return u.dial(ctx, p, addr)
+		}
+		if rest := u.settle - time.Since(c.idleAt); rest > 0 {
+			sleep(ctx, rest)
+		}
+		if time.Since(c.idleAt) < u.idleFor && c.quiet() {
+			return c, nil
+		}
+		u.discard(c)
 	}
+}
+
+// dial opens a connection for which reserve has given the right.
+func (u *upstream) dial(ctx context.Context, p *pool, addr string) (c *conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, u.dialTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -199,29 +222,29 @@
 		return nil, err
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr}, nil
+	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReaderSize(limit, maxAnswered), pool: p, addr: addr}, nil
 }
 
-// reserve takes the idle connection used last, or the right to open one to the address returned.
+// reserve takes the idle connection used last of those that have rested, if there is one, or the right to open one to
+// the address returned.
 func (u *upstream) reserve(id string) (*pool, string, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
 	if p == nil {
-		return nil, "", nil, errors.New("no address is known")
+		return nil, "", nil, errNoAddress
 	}
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		if time.Since(c.idleAt) < u.idleFor && c.quiet() {
-			return p, p.addr, c, nil
+	if len(p.idle) > 0 {
+		i := len(p.idle) - 1
+		for i > 0 && time.Since(p.idle[i].idleAt) < u.settle {
+			i--
 		}
-		u.closeLocked(c)
+		c := p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return p, p.addr, c, nil
 	}
 	if u.open >= u.most && !u.evict() {
-		return nil, "", nil, errors.New("all descriptors for endpoints are in use")
+		return nil, "", nil, errNoDescriptors
 	}
 	u.open++
 	return p, p.addr, nil, nil
@@ -258,12 +281,13 @@
 // attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
 // attempt returns: no second attempt can be out beside this one.
 func (u *upstream) attempt(ctx context.Context, id string, m *message) (tuliprock.Result, answer) {
+	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
 	if err != nil {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}
+		return unlessCanceled(ctx, notConnected(err)), answer{}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	result, a, reusable := c.exchange(ctx, m)
+	result, a, reusable := c.exchange(ctx, m.method, text)
 	if stop() && reusable {
 		u.giveBack(c)
 	} else {
@@ -272,6 +296,21 @@
 	return result, a
 }
 
+var (
+	errNoAddress     = errors.New("no address is known")
+	errNoDescriptors = errors.New("all descriptors for endpoints are in use")
+)
+
+// notConnected is the outcome where no connection came about. What is lacking here says nothing of the endpoint.
+func notConnected(err error) tuliprock.Result {
+	for _, own := range []error{errNoAddress, errNoDescriptors, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return tuliprock.NotSent
+		}
+	}
+	return tuliprock.ConnectFailed
+}
+
 // unlessCanceled is r, or Canceled if the attempt was called off.
 func unlessCanceled(ctx context.Context, r tuliprock.Result) tuliprock.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -280,24 +319,32 @@
 	return r
 }
 
-// broken is the outcome of an attempt whose last byte was written and whose whole answer has not come.
-func broken(ctx context.Context) tuliprock.Result {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// errSpoilt is an answer that can't be what the endpoint made for the request.
+var errSpoilt = errors.New("a spoilt answer")
+
+// broken is the outcome of an attempt whose last byte was written and whose whole answer has not come. A spoilt answer
+// is an error of an endpoint that runs; only a broken connection may mean that it went down.
+func (c *conn) broken(ctx context.Context, err error) tuliprock.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return tuliprock.TimedOut
+	case ctx.Err() != nil:
+		return tuliprock.Canceled
+	case c.limit.N > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)):
+		return tuliprock.Reset
 	}
-	return unlessCanceled(ctx, tuliprock.Reset)
+	return tuliprock.Errored
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, m *message) (r tuliprock.Result, a answer, reusable bool) {
-	text := m.bytes(ctx)
+func (c *conn) exchange(ctx context.Context, method string, text []byte) (r tuliprock.Result, a answer, reusable bool) {
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
 		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}, false
 	}
-	resp, body, err := c.readAnswer(m.method)
+	resp, body, err := c.readAnswer(method)
 	if err != nil {
-		return broken(ctx), answer{}, false
+		return c.broken(ctx, err), answer{}, false
 	}
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
@@ -313,28 +360,89 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 }
 
-// readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole.
+// readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole. Once it
+// has begun it must come at once: a spoilt one may never end, and its connection stays open.
 func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
 	c.limit.N = maxHead + maxBody
 	for range maxInterim {
-		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		if _, err := c.read.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(answerWhole)); err != nil {
+			return nil, nil, err
+		}
+		resp, body, err := c.readMessage(method)
 		if err != nil {
 			return nil, nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return nil, nil, err
 		}
-		defer resp.Body.Close()
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, nil, errors.New("an answer of unknown length")
+		if resp.StatusCode >= http.StatusOK {
+			return resp, body, nil
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err == nil && len(body) > maxBody {
-			err = errors.New("the answer is too long")
+	}
+	return nil, nil, fmt.Errorf("%w: too many interim answers", errSpoilt)
+}
+
+// readMessage reads one message: the answer, or an interim one.
+func (c *conn) readMessage(method string) (*http.Response, []byte, error) {
+	if err := c.checkHead(); err != nil {
+		return nil, nil, err
+	}
+	resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusSwitchingProtocols, resp.StatusCode < 100, resp.ContentLength > maxBody,
+		resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return nil, nil, fmt.Errorf("%w: status %d, length %d", errSpoilt, resp.StatusCode, resp.ContentLength)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = fmt.Errorf("%w: too long", errSpoilt)
+	}
+	return resp, body, err
+}
+
+// checkHead waits for a message's whole head, without taking it, and checks what net/http's parser would let pass.
+func (c *conn) checkHead() error {
+	for {
+		seen, _ := c.read.Peek(c.read.Buffered())
+		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
+			return checkLines(seen[:end])
+		}
+		if _, err := c.read.Peek(len(seen) + 1); err != nil {
+			return err
 		}
-		return resp, body, err
 	}
-	return nil, nil, errors.New("too many interim answers")
+}
+
+// checkLines holds a head to the letter of HTTP/1.1: lines end with CR and LF and are not folded, and the body is
+// framed in one way only. What can be read in two ways may be noise.
+func checkLines(head []byte) error {
+	framings := 0
+	for i, line := range bytes.Split(head, []byte("\r\n")) {
+		name, _, named := bytes.Cut(line, []byte(":"))
+		switch {
+		case bytes.ContainsAny(line, "\r\n"):
+			return fmt.Errorf("%w: a bare line end", errSpoilt)
+		case i == 0:
+			if !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) {
+				return fmt.Errorf("%w: no status line", errSpoilt)
+			}
+		case !named || bytes.ContainsAny(name, " \t"):
+			return fmt.Errorf("%w: no field", errSpoilt)
+		case bytes.EqualFold(name, []byte("Content-Length")), bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			framings++
+		}
+	}
+	if framings > 1 {
+		return fmt.Errorf("%w: framed in two ways", errSpoilt)
+	}
+	return nil
 }
 
 // bytes is the request as written to an endpoint, with a length and no other framing. Its deadline says how long
