Silent callers give way first, and callers are served on after SIGTERM

Cause: (1) makeRoom (callers.go) retired idle connections only, under a LimitListener that then held all others back; 64 descriptors were kept from both sides. (2) drain (sidecar.go) stopped accepting 0.6 s after the signal and closed what callers would have gone on using.

Mended: silent new connections go first, then idle ones, then half heads; the order is kept in lists, no scan. 24 descriptors are kept back. After SIGTERM all goes on for 2.2 s while callers are connected, and what is taken then has an answer 3.5 s after it at the latest. A head that came with the one before takes a retirement back.

A test of half heads hung: a connection to be retired that then sent some bytes had lost net/http's limit of time (stay), and enough of these kept everybody out; it has one now, and making room is tried again while the listener waits. Ruled out: CPU (0.05 s in the worst second).

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"container/list"
 	"errors"
 	"io"
 	"net"
@@ -11,13 +12,15 @@
 )
 
 const (
-	silentFor  = 2 * time.Second // a new connection may stay without a byte for this long at the end
-	lookAround = 10 * time.Millisecond
-	lastLook   = 20 * time.Millisecond // for what has come on a connection about to be closed
+	silentLeast  = 100 * time.Millisecond // a new connection without a byte is not yet suspect
+	partialLeast = 300 * time.Millisecond // nor is one with half a head
+	lookAround   = 10 * time.Millisecond
+	lastLook     = 20 * time.Millisecond // for what has come on a connection about to be closed
+	lastLooks    = 3                     // if this process did not get to run meanwhile
 )
 
-// callers keeps the callers' connections and closes idle ones: the one idle for longest where there are too many,
-// all of them at the end.
+// callers keeps the callers' connections and closes those on which no request is open: the one least missed where
+// there are too many, all of them at the end.
 //
 // It guards against closing a connection on which a request has just been read. net/http's own Shutdown and
 // SetKeepAlivesEnabled do that, and a close from its ConnState hook would: there a connection counts as idle until
@@ -26,97 +29,150 @@
 	net.Listener
 	most int
 
-	mu   sync.Mutex
-	open map[*callerConn]bool
+	mu       sync.Mutex
+	open     int
+	retiring int
+	again    bool // makeRoom is due
+	// Connections without an open request, the one longest so in front:
+	silent  list.List // new, and not a byte has come
+	idle    list.List // answered, and not a byte has come since
+	partial list.List // a part of a head has come
 }
 
-// callerConn is a caller's connection. It knows whether anything was read since the last answer.
+// callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
 	all *callers
 
 	// all.mu guards these:
+	in      *list.List // where it stands, with spot; nil while a request is open
+	spot    *list.Element
+	since   time.Time // it stands there
 	unread  bool      // no byte has come since the last write
-	idle    bool      // net/http waits for the next request
-	new     bool      // and it is the first
-	since   time.Time // it is idle or new
 	retired bool      // the next read ends the connection, if nothing came before
+	counted bool      // in all.open
 }
 
+func newCallers(l net.Listener, most int) *callers { return &callers{Listener: l, most: most} }
+
 // Accept implements net.Listener.
 func (l *callers) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: nc, all: l, unread: true, new: true, since: time.Now()}
+	c := &callerConn{Conn: nc, all: l, unread: true, counted: true}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open[c] = true
+	l.open++
+	c.stand(&l.silent)
 	l.makeRoom()
 	return c, nil
 }
 
+// stand moves the connection to the end of a list; nil: to none. all.mu is held.
+func (c *callerConn) stand(in *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.spot)
+	}
+	if c.in = in; in != nil {
+		c.spot, c.since = in.PushBack(c), time.Now()
+	}
+}
+
 // track follows a connection's state for http.Server.
 func (l *callers) track(nc net.Conn, state http.ConnState) {
 	c := nc.(*callerConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
-	case http.StateActive:
-		c.idle, c.new = false, false
+	case http.StateActive: // a head is whole, perhaps one that came along with the request before: it is served
+		c.stand(nil)
+		c.stay(time.Time{})
 	case http.StateIdle:
-		c.idle, c.since = true, time.Now()
+		if c.unread {
+			c.stand(&l.idle)
+		} else {
+			c.stand(&l.partial)
+		}
 		l.makeRoom()
 	case http.StateClosed, http.StateHijacked:
-		delete(l.open, c)
+		c.stand(nil)
+		if c.retired {
+			c.retired = false
+			l.retiring--
+		}
+		if c.counted {
+			c.counted = false
+			l.open--
+		}
 	}
 }
 
-// makeRoom retires the connection idle for longest if there are too many. l.mu is held.
+// makeRoom retires the connection least missed if there are too many: one that says nothing, then one idle for long,
+// then half a request that does not go on. Where all have a request open, the listener's limit holds new ones back.
+// l.mu is held.
 func (l *callers) makeRoom() {
-	if len(l.open) <= l.most {
+	if l.open-l.retiring <= l.most {
 		return
 	}
-	var longest *callerConn
-	for c := range l.open {
-		if c.idle && c.unread && !c.retired && (longest == nil || c.since.Before(longest.since)) {
-			longest = c
+	for _, from := range []struct {
+		list  *list.List
+		least time.Duration
+	}{{&l.silent, silentLeast}, {&l.idle, 0}, {&l.silent, 0}, {&l.partial, partialLeast}} {
+		if front := from.list.Front(); front != nil {
+			if c := front.Value.(*callerConn); time.Since(c.since) >= from.least {
+				c.retire()
+				return
+			}
 		}
 	}
-	if longest != nil {
-		longest.retire()
+	if !l.again { // while the listener waits for room, nothing else would look
+		l.again = true
+		time.AfterFunc(partialLeast, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.again = false
+			l.makeRoom()
+		})
 	}
 }
 
-// retire makes the read that waits for a request end, unless bytes come first. all.mu is held.
+// retire makes the read that waits for a request end, unless the request comes first. all.mu is held.
 func (c *callerConn) retire() {
+	c.stand(nil)
 	c.retired = true
+	c.all.retiring++
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-func (c *callerConn) isRetired() bool {
-	c.all.mu.Lock()
-	defer c.all.mu.Unlock()
-	return c.retired
+// stay takes a retirement back: a request came first, and has until limit to be read. all.mu is held.
+func (c *callerConn) stay(limit time.Time) {
+	if c.retired {
+		c.retired = false
+		c.all.retiring--
+		_ = c.Conn.SetReadDeadline(limit)
+	}
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
-		// The runtime reports the deadline even if bytes have come: look once more, so that none go under.
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
-		n, err = c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waits() {
+		n, err = c.lookAgain(b)
 	}
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	if n > 0 {
-		c.unread = false
-		if c.retired { // a request came first: it is served
-			c.retired = false
-			return n, c.Conn.SetReadDeadline(time.Time{})
+		if c.retired && c.unread { // a request came first
+			c.stay(time.Now().Add(headTimeout)) // net/http's own limit went with the retirement
+			c.stand(&c.all.partial)
+		}
+		if c.in == &c.all.silent || c.in == &c.all.idle {
+			c.stand(&c.all.partial)
 		}
+		c.unread = false
+		return n, err
 	}
 	if c.retired && errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, io.EOF
@@ -124,6 +180,30 @@
 	return n, err
 }
 
+// waits tells whether the connection's next byte begins a request.
+func (c *callerConn) waits() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.unread && (c.retired || c.in != nil)
+}
+
+// lookAgain reads once more after a read has run out of time. The runtime reports that even if bytes have come: none
+// may go under.
+func (c *callerConn) lookAgain(b []byte) (n int, err error) {
+	for range lastLooks {
+		began := time.Now()
+		_ = c.Conn.SetReadDeadline(began.Add(lastLook))
+		n, err = c.Conn.Read(b)
+		if n > 0 {
+			return n, c.Conn.SetReadDeadline(time.Now().Add(headTimeout))
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) < 2*lastLook {
+			return n, err
+		}
+	}
+	return n, err
+}
+
 // SetReadDeadline implements net.Conn. net/http sets one right after it has told that a connection is idle: that must
 // not undo a retirement.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -143,6 +223,13 @@
 	return c.Conn.Write(b)
 }
 
+// count tells how many connections are open.
+func (l *callers) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 // finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
 // request answered.
 func (l *callers) finish() error {
@@ -157,10 +244,14 @@
 func (l *callers) retireIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.open {
-		if c.unread && !c.retired && (c.idle || c.new && time.Since(c.since) > silentFor) {
+	for _, from := range []*list.List{&l.idle, &l.silent} {
+		for e := from.Front(); e != nil; e = from.Front() {
+			c := e.Value.(*callerConn)
+			if from == &l.silent && time.Since(c.since) < silentLeast {
+				break
+			}
 			c.retire()
 		}
 	}
-	return len(l.open)
+	return l.open
 }
--- a/internal/sidecar/callers_test.go
+++ b/internal/sidecar/callers_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &callers{Listener: listener, most: 100, open: map[*callerConn]bool{}}
+	l := newCallers(listener, 100)
 	t.Cleanup(func() { l.Close() })
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -72,7 +72,7 @@
 
 func TestASilentNewConnectionIsKeptForAWhile(t *testing.T) {
 	l, c, client := accepted(t)
-	c.idle, c.new = false, true
+	c.stand(&l.silent)
 	c.since = time.Now().Add(time.Hour)
 	l.retireIdle()
 	io.WriteString(client, "r")
@@ -80,14 +80,54 @@
 		t.Errorf("its first byte: %d, %v", n, err)
 	}
 	l, c, _ = accepted(t)
-	c.idle, c.new = false, true
-	c.since = time.Now().Add(-2 * silentFor)
+	c.stand(&l.silent)
+	c.since = time.Now().Add(-2 * silentLeast)
 	l.retireIdle()
 	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("silent for long: %v", err)
 	}
 }
 
+// Hundreds that connect and say nothing, or stop within a head, must not keep others out: they give way first.
+func TestSilentAndHalfRequestsGiveWay(t *testing.T) {
+	l, c, _ := accepted(t)
+	l.most = 0
+	c.stand(&l.partial)
+	c.since = time.Now().Add(-2 * partialLeast)
+	l.mu.Lock()
+	l.makeRoom()
+	l.mu.Unlock()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("half a head: %v", err)
+	}
+	l, c, _ = accepted(t)
+	other := &callerConn{Conn: c.Conn, all: l, unread: true}
+	other.stand(&l.silent)
+	other.since = time.Now().Add(-2 * silentLeast)
+	l.most = 0
+	l.mu.Lock()
+	l.makeRoom()
+	l.mu.Unlock()
+	if !other.retired || c.retired {
+		t.Errorf("the silent one retired: %v, the idle one: %v", other.retired, c.retired)
+	}
+}
+
+// A request that came along with the one before is in net/http's buffer, where no read shows it: once its head is
+// whole, a retirement made meanwhile must not end it.
+func TestAPipelinedRequestIsServedAfterARetirement(t *testing.T) {
+	l, c, client := accepted(t)
+	l.retireIdle()
+	l.track(c, http.StateActive)
+	io.WriteString(client, "r")
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("the read that watches for the caller's end: %d, %v", n, err)
+	}
+	if l.retiring != 0 || l.open != 1 {
+		t.Errorf("%d retiring, %d open", l.retiring, l.open)
+	}
+}
+
 // Seen on the same day, with half a core: a request that has come but was not read yet must not go under.
 func TestARequestThatHasComeIsReadBeforeTheEnd(t *testing.T) {
 	l, c, client := accepted(t)
@@ -102,3 +142,16 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// Seen in a test of half heads: a connection that was to go and then sent some bytes had no limit of time left, and
+// with enough of these nobody else was let in.
+func TestHalfARequestHasALimitAfterARetirement(t *testing.T) {
+	l, c, client := accepted(t)
+	io.WriteString(client, "GET /lo")
+	l.retireIdle()
+	for {
+		if _, err := c.Read(make([]byte, 16)); err != nil {
+			return // not so much later
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -41,7 +41,8 @@
 	log   *slog.Logger
 
 	bodyTimeout time.Duration
-	ending      atomic.Bool // answers close their connections
+	ending      atomic.Bool  // answers close their connections
+	endsAt      atomic.Int64 // instant by which all must be answered; 0: none
 }
 
 func (s *server) http(track func(net.Conn, http.ConnState)) *http.Server {
@@ -140,9 +141,13 @@
 	if err != nil || ms < 1 || ms > uint64(maxDeadline.Milliseconds()) {
 		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", deadlineName, text)
 	}
+	deadline := arrived + time.Duration(ms)*time.Millisecond - wayBack
+	if end := time.Duration(s.endsAt.Load()); end > 0 {
+		deadline = min(deadline, end)
+	}
 	return &call{
 		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
-			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
+			Deadline: deadline, Repeat: r.Header.Get("Req-Retry") == "1"},
 		message: &message{method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
 		replies: make(chan reply, 1),
 	}, 0, nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
-	spareCallers     = 16                     // of them, for callers that have come before an idle one is closed
-	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
+	otherDescriptors = 24                      // of the limit, for all but callers' and endpoints' connections
+	spareCallers     = 16                      // further callers, until an idle one is closed for them
+	acceptAfterTerm  = 600 * time.Millisecond  // new connections go on coming for a while after SIGTERM,
+	serveAfterTerm   = 2200 * time.Millisecond // callers go on using theirs for as long as these stay open,
+	answerAfterTerm  = 3500 * time.Millisecond // and what is not answered by now goes under with the process
 )
 
 // Sidecar is a sidecar that listens.
@@ -41,8 +43,8 @@
 	}
 	settings := c.Settings.Settings
 	settings.MayProbe = false // probing endpoints is ruled out
-	each := (c.Limits.Sockets - otherDescriptors) / 2
-	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, max(each, 8))
+	each := max((c.Limits.Sockets-otherDescriptors-spareCallers)/2, 8)
+	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, each)
 	d := newDiscovery(c.Discovery, c.Known.Version, settings.MustSubscribe, log)
 	l := newLoop(settings, up, d.subscribe, log)
 	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
@@ -55,7 +57,7 @@
 
 	log.Info("listening", "addr", listener.Addr().String())
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
+	conns := newCallers(netutil.LimitListener(listener, each+spareCallers), each)
 
 	s := &server{loop: l, class: map[string]tuliprock.Effect{}, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
@@ -100,11 +102,17 @@
 	return s.drain(served)
 }
 
-// drain ends the callers' side. It guards against losing what the kernel has accepted: for a while new connections
-// are taken as before; then answers say Connection: close, and idle connections are closed. There is no limit of
-// time: requests end by their deadlines, and net/http closes connections that bring none.
+// drain ends the callers' side. It guards against losing what the kernel has accepted, and against turning callers
+// away for as long as this process is there to serve them: for a while all goes on as before, as long as callers are
+// connected; then answers say Connection: close, and idle connections are closed. There is no further limit of time:
+// requests end by their deadlines, those taken from now on in time for the end, and net/http closes connections that
+// bring none.
 func (s *Sidecar) drain(served <-chan error) error {
-	time.Sleep(acceptAfterTerm)
+	s.callers.endsAt.Store(int64(s.loop.clock.now() + answerAfterTerm))
+	began := time.Now()
+	for d := time.Duration(0); d < acceptAfterTerm || d < serveAfterTerm && s.conns.count() > 0; d = time.Since(began) {
+		time.Sleep(lookAround)
+	}
 	s.callers.ending.Store(true)
 	err := s.conns.finish()
 	<-served // the listener is closed
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -534,3 +534,54 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// Callers that connect by hundreds and say nothing must not hold up those that ask.
+func TestSilentConnectionsDoNotKeepCallersOut(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := runWithin(t, `{"sockets":64}`, e.addr)
+	for i := range 200 {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		io.WriteString(nc, "GET /lo"[:i%2*7]) // some of a head, or nothing
+	}
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 60000)); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if n := s.conns.count(); n > 64 {
+		t.Errorf("%d connections are held", n)
+	}
+}
+
+// While the process is there it serves: after SIGTERM a caller goes on using its connection, with answers in time for
+// the end.
+func TestCallersAreServedOnAfterTheSignal(t *testing.T) {
+	e := newEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("Req-Id") != "long" {
+			io.WriteString(nc, served)
+		}
+		return true
+	})
+	s := run(t, e.addr)
+	nc, in, _ := keep(t, s.request(t, http.MethodGet, "/look", "first", 60000))
+	s.term()
+	until(t, "the end is near", func() bool { return s.callers.endsAt.Load() > 0 })
+	for _, row := range []struct {
+		id   string
+		want int
+	}{{"second", http.StatusOK}, {"long", statusRefused}} {
+		if err := s.request(t, http.MethodGet, "/look", row.id, 3600000).Write(nc); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", row.id, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != row.want {
+			t.Errorf("%s: status %d", row.id, resp.StatusCode)
+		}
+	}
+}
