The room follows the ready endpoints, and one clogged endpoint can't hold it all

Cause: balancer.go, EndpointList set the room at the first list only, and dispatch compares all calls out with it, wherever they are.

Mended: the room changes with the number of ready endpoints; where it is used up, an endpoint's calls count for 1.4 parts of it at most and those that hold less than a part may still be picked.

An unlisted class is no longer kept by the module, and its head comment names the design instead of a page that is not there.

--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,7 @@
 package tuliprock
 
-// The decisions. The interface is in api.go, the state in state.go; the sources are told in docs/design.md.
+// The decisions. The interface is in api.go, the state in state.go. The design is the round-robin rule of
+// Cicconetti et al., "A Decentralized Framework for Serverless Edge Computing in the Internet of Things".
 // A weight w is a stretch: latency over what calls like it take here when all is calm.
 
 import (
@@ -38,6 +39,7 @@
 	roomSample  = 3.0                    // stretch that one answer can show here
 	overRoom    = 0.6                    // share of the room up to which over-share requests are let in
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
+	clogged     = 1.4                    // parts of the room that one endpoint's calls can use up
 	holdShare   = 0.05                   // share of the mean aim that a request waits here at most
 	hopeless    = 0.6                    // share of the expected time that must be left, when room is short
 	resendShare = 0.1                    // resends earned by each request
@@ -67,13 +69,16 @@
 		return
 	}
 	b.askGap, b.askAt = 0, 0
-	first := len(b.endpoints) == 0
+	first, was := len(b.endpoints) == 0, b.ready
 	for _, e := range b.merge(l) {
 		b.renew(now, e, first)
 	}
 	b.fill()
-	if first {
+	switch {
+	case first:
 		b.room = roomStart * b.share()
+	case was > 0 && b.ready > 0: // few that are left must not get the calls of many
+		b.room *= float64(b.ready) / float64(was)
 	}
 	b.release(now)
 }
@@ -164,9 +169,8 @@
 // send it, or hold it until there is room.
 func (b *Balancer) Request(now time.Duration, r Request) {
 	c := b.classes[r.Class]
-	if c == nil { // a class that nobody listed: what may have run is never repeated
+	if c == nil { // a class that nobody listed: never repeated, nor kept, for ever new ones may come
 		c = &class{Class: Class{Effect: Unsafe, Aim: max(r.Deadline-now, 0)}}
-		b.classes[r.Class] = c
 	}
 	b.count(now)
 	q := &request{Request: r, class: c, arrived: now, spot: len(b.live)}
@@ -328,6 +332,22 @@
 	return soonest
 }
 
+// pickIdle chooses where few endpoints use up the room, from those that hold less than their part of it. It
+// guards against one that is slow or has stopped: its calls would take all the room, and new ones and those
+// that are well would stand idle until it answers. Where all have much in hand there is none to choose.
+func (b *Balancer) pickIdle(now time.Duration, q *request) *endpoint {
+	part, used := b.room/float64(max(len(b.table), 1)), 0.0
+	for _, e := range b.table {
+		used += min(float64(e.inFlight), max(clogged*part, 1))
+	}
+	if used >= b.room {
+		return nil
+	}
+	return b.pick(now, q, slices.DeleteFunc(slices.Clone(b.table), func(e *endpoint) bool {
+		return float64(e.inFlight) >= part || !e.active && now < e.trialAt
+	}))
+}
+
 // holds is what an endpoint is taken to have in hand: what its probe said, else what is out from here or, if
 // more, what probes say on the whole. An endpoint that was not asked must not pass for an idle one.
 func (b *Balancer) holds(now time.Duration, e *endpoint) float64 {
@@ -339,8 +359,13 @@
 
 // dispatch sends a request to the endpoint picked, or holds it. Resends are not held back for room.
 func (b *Balancer) dispatch(now time.Duration, q *request) {
-	if len(q.attempts) > 0 || float64(b.out) < b.room && (len(b.waiting) == 0 || q.held) {
-		e := b.pick(now, q, b.table)
+	if len(q.attempts) > 0 || len(b.waiting) == 0 || q.held {
+		var e *endpoint
+		if len(q.attempts) > 0 || float64(b.out) < b.room {
+			e = b.pick(now, q, b.table)
+		} else {
+			e = b.pickIdle(now, q)
+		}
 		if e == nil && len(q.attempts) > 0 { // a repeat may be bound to endpoints outside the table
 			e = b.pick(now, q, b.endpoints)
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -970,3 +970,60 @@
 		t.Errorf("%d of 30 calls were sent again", again)
 	}
 }
+
+// Seen on a day on which three of four endpoints were replaced: the one that stayed got the calls of all four, and
+// its answers came too late.
+func TestRoomFollowsTheReadyEndpoints(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	var l tuliprock.List
+	for _, id := range []string{"b", "c", "d"} {
+		l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id, State: tuliprock.Draining})
+	}
+	r.b.EndpointList(r.now, l)
+	for range 24 {
+		r.ask("read", "")
+	}
+	if n := r.count("send"); n == 0 || n > 8 {
+		t.Errorf("the one that is left gets %d calls at once", n)
+	}
+}
+
+// Seen on the same day: an endpoint that stopped answering held all the room, and a new one stood idle.
+func TestACloggedEndpointDoesNotHoldAllTheRoom(t *testing.T) {
+	r := newRig(t, basic(), "a")
+	for range 6 {
+		r.ask("read", "")
+	}
+	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "b"}}})
+	r.wait(time.Second)
+	var trial string
+	for range 6 {
+		if id, ep := r.call("read"); ep == "b" {
+			trial = id
+		}
+	}
+	if trial == "" {
+		t.Fatal("no trial of the new endpoint")
+	}
+	r.wait(100 * ms)
+	r.end(trial, tuliprock.OK)
+	before := r.count("send")
+	for range 6 {
+		r.ask("read", "")
+	}
+	if n := r.count("send") - before; n < 4 {
+		t.Errorf("%d calls go out beside the clogged endpoint", n)
+	}
+}
+
+// Callers may name ever new classes; nothing of them may stay.
+func TestUnlistedClassesAreNotKept(t *testing.T) {
+	r := newRig(t, basic(), "a")
+	for i := range 3 {
+		id, _ := r.call("class" + strconv.Itoa(i))
+		r.end(id, tuliprock.OK)
+	}
+	if n := tuliprock.ClassesKept(r.b); n != 2 {
+		t.Errorf("%d classes are kept", n)
+	}
+}
