--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1016,14 +1016,24 @@
 	}
 }
 
-// Callers may name ever new classes; nothing of them may stay.
-func TestUnlistedClassesAreNotKept(t *testing.T) {
+// A long day brings ever new endpoints, ids, classes and tenants; nothing of those that have gone may stay.
+func TestNothingGrowsWithEverNewNames(t *testing.T) {
 	r := newRig(t, basic(), "a")
-	for i := range 3 {
-		id, _ := r.call("class" + strconv.Itoa(i))
+	for i := range 3000 {
+		r.b.EndpointList(r.now, tuliprock.List{Complete: true, Entries: []tuliprock.Endpoint{{ID: fmt.Sprint("e", i)}, {ID: fmt.Sprint("e", i+1)}}})
+		id, ep := r.call([]string{"read", fmt.Sprint("class", i)}[i%2])
+		if ep == "" {
+			t.Fatalf("request %d is not sent", i)
+		}
+		r.wait(2 * ms)
 		r.end(id, tuliprock.OK)
+		r.b.ClientLeft(r.now, r.ask("read", fmt.Sprint("tenant", i)))
+		if last := fmt.Sprint("r", r.n); len(r.to[last]) > 0 {
+			r.end(last, tuliprock.Canceled)
+		}
 	}
-	if n := tuliprock.ClassesKept(r.b); n != 2 {
-		t.Errorf("%d classes are kept", n)
+	want := map[string]int{"classes": 2, "tenants": 0, "kinds": 1, "names": 2, "endpoints": 2, "table": 2, "requests": 0, "live": 0, "waiting": 0}
+	if kept := tuliprock.Kept(r.b); !maps.Equal(kept, want) {
+		t.Errorf("kept: %v", kept)
 	}
 }
--- a/export_test.go
+++ b/export_test.go
@@ -1,4 +1,7 @@
 package tuliprock
 
-// ClassesKept tells tests how many classes a Balancer holds.
-func ClassesKept(b *Balancer) int { return len(b.classes) }
+// Kept tells tests how much a Balancer holds of each sort.
+func Kept(b *Balancer) map[string]int {
+	return map[string]int{"classes": len(b.classes), "tenants": len(b.tenants), "kinds": len(b.kinds), "names": len(b.byName),
+		"endpoints": len(b.endpoints), "table": len(b.table), "requests": len(b.requests), "live": len(b.live), "waiting": len(b.waiting)}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -585,3 +585,28 @@
 		}
 	}
 }
+
+// A long day brings ever new endpoints at old addresses, ids and connections; nothing of those that have gone may stay.
+func TestNothingGrowsWithEverNewNames(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	for i := range 500 {
+		s.tell(t, members(i+2, true, member(fmt.Sprint("e", i), e.addr, "Ready")))
+		if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000)); status != http.StatusOK {
+			t.Fatalf("request %d: status %d", i, status)
+		}
+	}
+	until(t, "callers' connections end", func() bool { return s.conns.count() == 0 })
+	left := make(chan [4]int)
+	s.loop.post(func(time.Duration) {
+		left <- [4]int{len(s.loop.calls), len(s.loop.members), len(s.loop.later), len(s.loop.timers)}
+	})
+	if n := <-left; n[0] != 0 || n[1] != 1 || n[2] != 0 || n[3] > 600 {
+		t.Errorf("calls, members, events, timers: %v", n)
+	}
+	s.upstream.mu.Lock()
+	defer s.upstream.mu.Unlock()
+	if len(s.upstream.pools) != 1 || s.upstream.open > 1 {
+		t.Errorf("%d pools, %d connections to endpoints", len(s.upstream.pools), s.upstream.open)
+	}
+}
