A break on a connection that had served before is no sample of its endpoint

Cause: endpoints there close connections right after an answer or when idle for far less than the settings say.

Checked: the ages of connections found dead (2 to 1,559 ms, the median 289) and of those that broke (2 ms and up) are spread evenly: no idle limit of ours would tell them apart, and none was built.

Mended: the host tells with an outcome whether the connection had served before; a reset there gives no sample. A new connection that breaks counts in full, and an endpoint that went down refuses new ones.

--- a/api.go
+++ b/api.go
@@ -178,6 +178,7 @@
 	Result   Result
 	Took     time.Duration // since the Send
 	Final    bool          // the request has its final answer
+	Reused   bool          // it went out on a connection that had served before
 }
 
 // ProbeResult is the answer to a Probe.
--- a/balancer.go
+++ b/balancer.go
@@ -449,7 +449,7 @@
 	a.e.inFlight--
 	b.out--
 	if !a.streams {
-		b.judge(now, q, a, o.Result, o.Took)
+		b.judge(now, q, a, told(o), o.Took)
 	}
 	switch {
 	case q.done || o.Final || o.Result == OK:
@@ -488,6 +488,15 @@
 	b.close(q)
 }
 
+// told is what an outcome tells of the endpoint: nothing, if a connection broke that had served before. An
+// endpoint may close what stands idle just as it is used again; if it went down, new connections fail.
+func told(o Outcome) Result {
+	if o.Result == Reset && o.Reused {
+		return NotSent
+	}
+	return o.Result
+}
+
 // judge turns an outcome into a sample.
 func (b *Balancer) judge(now time.Duration, q *request, a *attempt, r Result, took time.Duration) {
 	e, stretch, failed := a.e, min(took.Seconds()/b.expected(q), penaltyMost), r != OK
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1037,3 +1037,27 @@
 		t.Errorf("kept: %v", kept)
 	}
 }
+
+// Seen on a day of endpoints that close idle connections early: each break passed for a restart and for a sample of a
+// time-out, and sound endpoints were dropped. The request goes out again all the same, if that is allowed.
+func TestABreakOnAReusedConnectionIsNoSample(t *testing.T) {
+	for _, reused := range []bool{true, false} {
+		r := newRig(t, basic(), "a", "b", "c")
+		all := map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms}
+		r.warm(30, all)
+		id, ep := r.call("read")
+		r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Endpoint: ep, Result: tuliprock.Reset, Took: ms, Reused: reused})
+		if len(r.to[id]) != 2 || r.to[id][1] == ep {
+			t.Fatalf("reused %v: sent to %v", reused, r.to[id])
+		}
+		r.end(id, tuliprock.OK)
+		if share := r.warm(9, all); (share[ep] >= 2) != reused {
+			t.Errorf("reused %v: then %d of 9 turns", reused, share[ep])
+		}
+		id, ep = r.call("bill")
+		r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Endpoint: ep, Result: tuliprock.Reset, Took: ms, Reused: reused})
+		if len(r.to[id]) != 1 || r.count("fail "+id) != 1 {
+			t.Errorf("reused %v: unsafe work sent to %v", reused, r.to[id])
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -217,7 +217,7 @@
 	}
 	go func() {
 		var a answer
-		o.Result, a = h.upstream.attempt(ctx, endpoint, c.message)
+		o.Result, o.Reused, a = h.upstream.attempt(ctx, endpoint, c.message)
 		cancel()
 		h.post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
 	}()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -279,21 +279,22 @@
 }
 
 // attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
-// attempt returns: no second attempt can be out beside this one.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) (tuliprock.Result, answer) {
+// attempt returns: no second attempt can be out beside this one. It tells whether the connection had served before.
+func (u *upstream) attempt(ctx context.Context, id string, m *message) (r tuliprock.Result, reused bool, a answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
 	if err != nil {
-		return unlessCanceled(ctx, notConnected(err)), answer{}
+		return unlessCanceled(ctx, notConnected(err)), false, answer{}
 	}
+	reused = !c.idleAt.IsZero()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	result, a, reusable := c.exchange(ctx, m.method, text)
+	r, a, reusable := c.exchange(ctx, m.method, text)
 	if stop() && reusable {
 		u.giveBack(c)
 	} else {
 		u.discard(c)
 	}
-	return result, a
+	return r, reused, a
 }
 
 var (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -130,7 +130,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, says(row.says, row.stay))
-			result, a := testUpstream(t, e.addr).attempt(ctxFor(t, patience), "a", get("/c"))
+			result, _, a := testUpstream(t, e.addr).attempt(ctxFor(t, patience), "a", get("/c"))
 			if result != row.want {
 				t.Errorf("outcome %v, want %v", result, row.want)
 			}
@@ -148,19 +148,19 @@
 	e := newEndpoint(t, says(served, true))
 	u := testUpstream(t, e.addr)
 	u.dialTimeout = time.Nanosecond
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("never up: %v", r)
 	}
 	e.listener.Close()
 	u.dialTimeout = patience
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("refused: %v", r)
 	}
-	if r, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.NotSent {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.NotSent {
 		t.Errorf("no address: %v", r)
 	}
 	u.most = 0 // a shortage here must not count against the endpoint
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.NotSent {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.NotSent {
 		t.Errorf("no descriptors: %v", r)
 	}
 	if u.open != 0 {
@@ -184,7 +184,7 @@
 	}()
 	m := get("/c")
 	m.method, m.body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
-	if r, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
+	if r, _, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
 		t.Errorf("outcome %v", r)
 	}
 }
@@ -206,7 +206,7 @@
 		} else {
 			go func() { <-came; cancel() }()
 		}
-		r, _ := u.attempt(ctx, "a", get("/c"))
+		r, _, _ := u.attempt(ctx, "a", get("/c"))
 		cancel()
 		if r != want {
 			t.Errorf("outcome %v, want %v", r, want)
@@ -234,11 +234,11 @@
 		m := get("/c")
 		m.method = method
 		m.header.Set("Idempotency-Key", "k")
-		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
 			t.Fatalf("first: %v", r)
 		}
-		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset {
-			t.Errorf("%s on a connection that broke: %v", method, r)
+		if r, reused, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset || !reused {
+			t.Errorf("%s on a connection that broke: %v, reused %v", method, r, reused)
 		}
 		if n, c := e.requests.Load(), e.connections.Load(); n != 2 || c != 1 {
 			t.Errorf("%s: %d requests on %d connections", method, n, c)
@@ -268,12 +268,12 @@
 			return n > 1
 		})
 		u := testUpstream(t, e.addr)
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("%s: first: %v", name, r)
 		}
 		answered <- true
 		until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Errorf("%s: second: %v", name, r)
 		}
 		if c := e.connections.Load(); c != 2 {
@@ -288,7 +288,7 @@
 	u := testUpstream(t, e.addr)
 	try := func(want int32) {
 		t.Helper()
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("outcome %v", r)
 		}
 		if c := e.connections.Load(); c != want {
@@ -315,7 +315,7 @@
 	u := testUpstream(t, e.addr, f.addr)
 	u.most = 1
 	for _, id := range []string{"a", "b", "a"} {
-		if r, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
 			t.Errorf("%s: %v", id, r)
 		}
 		if u.open != 1 {
@@ -342,7 +342,7 @@
 	for _, id := range []string{"r1", "r2"} {
 		m := get("/c")
 		m.header.Set("Req-Id", id)
-		if r, a := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK || string(a.body) != id {
+		if r, _, a := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK || string(a.body) != id {
 			t.Errorf("request %s: %v, answer %q", id, r, a.body)
 		}
 		if id == "r1" {
