--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -17,7 +17,7 @@
 
 const (
 	heapShare = 0.7 // of the memory limit that the heap may take before the collector works harder
-	gcPercent = 300 // the live heap is small: collect less often
+	gcPercent = 50  // the live heap is small, and rare collections look like growth: 300 put off the first one for a minute
 )
 
 func main() {
