--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -68,7 +68,7 @@
 		"1ms list {Failed:true Complete:false Entries:[]}",
 		"1ms request {ID:r1 Class:c Tenant:t Deadline:2ms Repeat:true}",
 		"1ms request {ID:r2 Class:c Tenant: Deadline:2ms Repeat:false}",
-		"1ms outcome {ID:r1 Attempt:0 Endpoint:h:1 Result:0 Took:5µs Final:true}",
+		"1ms outcome {ID:r1 Attempt:0 Endpoint:h:1 Result:0 Took:5µs Final:true Reused:false}",
 		"1ms probed {Endpoint:h:1 Result:0 Load:{Known:true Held:2.5}}",
 		"1ms stream r2 1", "1ms left r2", "1ms timer"}
 	if !reflect.DeepEqual(r.got, want) {
