--- a/api.go
+++ b/balance/api.go
@@ -1,4 +1,4 @@
-// Package tuliprock makes a load balancer's decisions for a service that calls other services: which
+// Package balance makes a load balancer's decisions for a service that calls other services: which
 // endpoint gets a request, when to try again, when to hold back and when to refuse.
 //
 // The package has no transport, no clock and no goroutine. A host (a sidecar, a proxy, a test) owns all
@@ -9,7 +9,7 @@
 //
 // Instants are readings of any clock that never runs backwards, given as a time.Duration since an
 // arbitrary zero. The same settings and the same events at the same instants give the same actions.
-package tuliprock
+package balance
 
 import "time"
 
--- a/balancer.go
+++ b/balance/balancer.go
@@ -1,4 +1,4 @@
-package tuliprock
+package balance
 
 // The decisions. The interface is in api.go, the state in state.go. The design is the round-robin rule of
 // Cicconetti et al., "A Decentralized Framework for Serverless Edge Computing in the Internet of Things".
--- a/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1,4 +1,4 @@
-package tuliprock_test
+package balance_test
 
 import (
 	"fmt"
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // rig drives a balancer by hand and keeps what it asks for.
 type rig struct {
 	t      *testing.T
 	now    time.Duration
-	b      *tuliprock.Balancer
+	b      *balance.Balancer
 	did    []string // all actions but timers, in order
 	to     map[string][]string
 	sentAt map[string]time.Duration
@@ -39,20 +39,20 @@
 func (r *rig) Timer(at time.Duration)            { r.timer = append(r.timer, at) }
 func (r *rig) Log(string)                        {}
 
-func basic() tuliprock.Settings {
-	return tuliprock.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
-		ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: []tuliprock.Class{
-			{Name: "read", Effect: tuliprock.Safe, Aim: 2 * time.Second},
-			{Name: "bill", Effect: tuliprock.Unsafe, Aim: 2 * time.Second}}}
+func basic() balance.Settings {
+	return balance.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
+		ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: []balance.Class{
+			{Name: "read", Effect: balance.Safe, Aim: 2 * time.Second},
+			{Name: "bill", Effect: balance.Unsafe, Aim: 2 * time.Second}}}
 }
 
-func newRig(t *testing.T, s tuliprock.Settings, endpoints ...string) *rig {
+func newRig(t *testing.T, s balance.Settings, endpoints ...string) *rig {
 	r := &rig{t: t, now: 100 * time.Second, to: map[string][]string{}, sentAt: map[string]time.Duration{}}
 	s.Seed = 7
-	r.b = tuliprock.New(r.now, s, r)
-	l := tuliprock.List{Complete: true}
+	r.b = balance.New(r.now, s, r)
+	l := balance.List{Complete: true}
 	for _, id := range endpoints {
-		l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id})
+		l.Entries = append(l.Entries, balance.Endpoint{ID: id})
 	}
 	r.b.EndpointList(r.now, l)
 	return r
@@ -88,15 +88,15 @@
 func (r *rig) ask(class, tenant string) string {
 	r.n++
 	id := "r" + strconv.Itoa(r.n)
-	r.b.Request(r.now, tuliprock.Request{ID: id, Class: class, Tenant: tenant, Deadline: r.now + 5*time.Second})
+	r.b.Request(r.now, balance.Request{ID: id, Class: class, Tenant: tenant, Deadline: r.now + 5*time.Second})
 	return id
 }
 
 // end reports the outcome of the latest attempt of a request.
-func (r *rig) end(id string, result tuliprock.Result) {
+func (r *rig) end(id string, result balance.Result) {
 	n := len(r.to[id]) - 1
-	r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: result, Took: r.now - r.sentAt[id],
-		Final: result == tuliprock.OK})
+	r.b.Outcome(r.now, balance.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: result, Took: r.now - r.sentAt[id],
+		Final: result == balance.OK})
 }
 
 func (r *rig) count(prefix string) int {
@@ -116,7 +116,7 @@
 		id, ep := r.call("read")
 		share[ep]++
 		r.wait(took[ep])
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	return share
 }
@@ -186,7 +186,7 @@
 			continue
 		}
 		r.wait(20 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	if trials := int((r.now - start) / (500 * ms)); caught > 5+trials {
 		t.Errorf("a hung endpoint caught %d of 200 calls", caught)
@@ -199,7 +199,7 @@
 		r.warm(50, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms})
 		id, _ := r.call(class)
 		r.wait(time.Second)
-		r.end(id, tuliprock.Reset)
+		r.end(id, balance.Reset)
 		if n := len(r.to[id]); n != want {
 			t.Errorf("a broken %s was sent %d times, want %d", class, n, want)
 		}
@@ -214,13 +214,13 @@
 		id, ep := r.call("read")
 		if ep == "down" {
 			tries = append(tries, r.now)
-			r.end(id, tuliprock.ConnectFailed)
+			r.end(id, balance.ConnectFailed)
 			if n := len(r.to[id]); n != 2 || r.to[id][1] == "down" {
 				t.Fatalf("after a failed connect the call went to %v", r.to[id])
 			}
 		}
 		r.wait(20 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	if len(tries) < 4 || len(tries) > 12 {
 		t.Errorf("a dead endpoint was tried %d times in 20 s", len(tries))
@@ -235,12 +235,12 @@
 func TestWithNoneActiveTheSoonestTrialIsTaken(t *testing.T) {
 	r := newRig(t, basic(), "only")
 	id, _ := r.call("read")
-	r.end(id, tuliprock.ConnectFailed) // dropped, and the resend is the none-active branch
+	r.end(id, balance.ConnectFailed) // dropped, and the resend is the none-active branch
 	if len(r.to[id]) != 2 {
 		t.Fatalf("actions %v", r.did)
 	}
 	r.wait(30 * ms)
-	r.end(id, tuliprock.OK)
+	r.end(id, balance.OK)
 	if _, ep := r.call("read"); ep != "only" {
 		t.Error("a trial that succeeded with none active did not readmit its endpoint")
 	}
@@ -262,7 +262,7 @@
 			slow++
 		}
 		r.wait(took[ep])
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 		r.wait(500*ms - min(took[ep], 400*ms))
 	}
 	if slow > 14 {
@@ -287,7 +287,7 @@
 			id, ep := r.call("read")
 			own[ep] = true
 			r.wait(50 * ms)
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 			r.wait(950 * ms)
 		}
 		for ep := range own {
@@ -327,13 +327,13 @@
 	for perSecond, want := range map[int]bool{4: false, 16: true} {
 		s := basic()
 		s.Balancers = 10
-		s.Tenants = []tuliprock.Tenant{{Name: "greedy", Quota: 20}, {Name: "quiet", Quota: 60}} // 8 a second here
+		s.Tenants = []balance.Tenant{{Name: "greedy", Quota: 20}, {Name: "quiet", Quota: 60}} // 8 a second here
 		r := newRig(t, s, "a", "b", "c")
 		for range 10 * perSecond {
 			id := r.ask("read", "greedy")
 			if len(r.to[id]) > 0 {
 				r.wait(10 * ms)
-				r.end(id, tuliprock.OK)
+				r.end(id, balance.OK)
 			}
 			r.wait(time.Second/time.Duration(perSecond) - 10*ms)
 		}
@@ -357,7 +357,7 @@
 			id, ep := r.call("read")
 			share[ep[:4]]++
 			r.wait(took[ep])
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 		}
 		if got := share["fast"] / share["slow"]; got < want[0] || got > want[1] {
 			t.Errorf("with %d tiers below, fast ones get %.2f times the calls of slow ones", below, got)
@@ -382,7 +382,7 @@
 			r.wait(10 * ms)
 			for _, id := range slices.Sorted(maps.Keys(due)) {
 				if r.now >= due[id] {
-					r.end(id, tuliprock.OK)
+					r.end(id, balance.OK)
 					delete(due, id)
 				}
 			}
@@ -408,17 +408,17 @@
 	for c := range callers {
 		s := basic()
 		r := newRig(t, s, names...)
-		r.b = tuliprock.New(r.now, tuliprock.Settings{Seed: uint64(c), Balancers: callers, Index: c, MaxAttempts: 4, Resolution: ms,
+		r.b = balance.New(r.now, balance.Settings{Seed: uint64(c), Balancers: callers, Index: c, MaxAttempts: 4, Resolution: ms,
 			ColdFrom: 0.3, ColdFor: 9 * time.Second, Classes: s.Classes}, r)
-		l := tuliprock.List{Complete: true}
+		l := balance.List{Complete: true}
 		for _, id := range names {
-			l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id})
+			l.Entries = append(l.Entries, balance.Endpoint{ID: id})
 		}
 		r.b.EndpointList(r.now, l)
 		step := func() string {
 			id, ep := r.call("read")
 			r.wait(50 * ms)
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 			r.wait(time.Second/time.Duration(perSecond) - 50*ms)
 			return ep
 		}
@@ -426,7 +426,7 @@
 			step()
 		}
 		start := r.now
-		r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "cold", Started: start}}})
+		r.b.EndpointList(r.now, balance.List{Entries: []balance.Endpoint{{ID: "cold", Started: start}}})
 		for r.now < start+11*time.Second {
 			if at := (r.now - start) / time.Second; step() == "cold" {
 				got[at]++
@@ -461,7 +461,7 @@
 				if id := "r" + strconv.Itoa(j); len(r.to[id]) == 1 && !slices.Contains(out, id) && !slices.Contains(r.did, "refuse "+id) &&
 					!slices.Contains(r.did, "fail "+id) {
 					out = append(out, id)
-					r.end(id, tuliprock.OK)
+					r.end(id, balance.OK)
 					served[class[id]]++
 					break
 				}
@@ -483,7 +483,7 @@
 		id, ep := r.call("read")
 		share[ep]++
 		r.wait(50 * ms)
-		r.end(id, tuliprock.Errored)
+		r.end(id, balance.Errored)
 	}
 	for _, ep := range []string{"a", "b", "c", "d"} {
 		if share[ep] < 14 {
@@ -508,11 +508,11 @@
 		if ep == "broken" {
 			broken++
 			r.wait(2 * ms)
-			r.end(id, tuliprock.Errored)
+			r.end(id, balance.Errored)
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	if broken > 30 {
 		t.Errorf("a broken endpoint got %d of 400 calls", broken)
@@ -521,12 +521,12 @@
 
 func TestOverShareIsRefusedOnlyWhenRoomIsShort(t *testing.T) {
 	s := basic()
-	s.Tenants = []tuliprock.Tenant{{Name: "big", Quota: 10}, {Name: "small", Quota: 1000}}
+	s.Tenants = []balance.Tenant{{Name: "big", Quota: 10}, {Name: "small", Quota: 1000}}
 	r := newRig(t, s, "a", "b")
 	ask := func(tenant string) string {
 		r.n++
 		id := "r" + strconv.Itoa(r.n)
-		r.b.Request(r.now, tuliprock.Request{ID: id, Class: "read", Tenant: tenant, Deadline: r.now + 5*time.Second})
+		r.b.Request(r.now, balance.Request{ID: id, Class: "read", Tenant: tenant, Deadline: r.now + 5*time.Second})
 		return id
 	}
 	for range 9 {
@@ -574,7 +574,7 @@
 					if len(queue[ep]) > 0 {
 						id := queue[ep][0]
 						queue[ep] = queue[ep][1:]
-						r.end(id, tuliprock.OK)
+						r.end(id, balance.OK)
 						answered++
 					}
 				}
@@ -643,7 +643,7 @@
 		for _, id := range slices.Sorted(maps.Keys(due)) {
 			if r.now >= due[id] {
 				delete(due, id)
-				r.end(id, tuliprock.OK)
+				r.end(id, balance.OK)
 			}
 		}
 		for asked := 0; len(due)+asked < 22; asked++ {
@@ -684,7 +684,7 @@
 		t.Errorf("actions %v", r.did)
 	}
 	id, _ = r.call("bill")
-	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new"}}})
+	r.b.EndpointList(r.now, balance.List{Entries: []balance.Endpoint{{ID: "new"}}})
 	if len(r.to[id]) != 1 {
 		t.Error("a held request did not go to the first endpoint that came")
 	}
@@ -699,7 +699,7 @@
 		t.Fatalf("actions %v", r.did)
 	}
 	for ep, held := range map[string]float64{"a": 4, "b": 0, "c": 4} {
-		r.b.Probed(r.now, tuliprock.ProbeResult{Endpoint: ep, Load: tuliprock.Load{Known: true, Held: held}})
+		r.b.Probed(r.now, balance.ProbeResult{Endpoint: ep, Load: balance.Load{Known: true, Held: held}})
 	}
 	if got := r.to["r1"]; !slices.Equal(got, []string{"b"}) {
 		t.Errorf("sent to %v", got)
@@ -727,20 +727,20 @@
 			if !ok {
 				continue
 			}
-			load := tuliprock.Load{Known: true, Held: 1}
+			load := balance.Load{Known: true, Held: 1}
 			if probes++; strings.HasPrefix(ep, "hung") {
 				load.Held = 8
 				toHung++
 			}
-			r.b.Probed(r.now, tuliprock.ProbeResult{Endpoint: ep, Load: load})
+			r.b.Probed(r.now, balance.ProbeResult{Endpoint: ep, Load: load})
 		}
 		if ep := r.to[id][0]; strings.HasPrefix(ep, "hung") {
 			picks++
-			r.end(id, tuliprock.Full)
+			r.end(id, balance.Full)
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	if toHung > probes/4 {
 		t.Errorf("%d of %d probes went to three crowded endpoints of eight", toHung, probes)
@@ -754,7 +754,7 @@
 	s := basic()
 	s.MustSubscribe, s.AskWithin = true, 10*time.Second
 	r := newRig(t, s, "a")
-	r.b.EndpointList(r.now, tuliprock.List{Failed: true})
+	r.b.EndpointList(r.now, balance.List{Failed: true})
 	r.wait(5 * time.Second)
 	if n := r.count("subscribe"); n != 2 {
 		t.Errorf("asked %d times", n)
@@ -763,8 +763,8 @@
 
 // TestOddSettingsDoNoHarm plays with settings that no site has.
 func TestOddSettingsDoNoHarm(t *testing.T) {
-	for _, s := range []tuliprock.Settings{{}, {MayProbe: true}, {Balancers: -1, MaxAttempts: -1,
-		Classes: []tuliprock.Class{{}}, Tenants: []tuliprock.Tenant{{}}}} {
+	for _, s := range []balance.Settings{{}, {MayProbe: true}, {Balancers: -1, MaxAttempts: -1,
+		Classes: []balance.Class{{}}, Tenants: []balance.Tenant{{}}}} {
 		r := newRig(t, s, "a", "b")
 		for range 20 {
 			r.call("")
@@ -795,7 +795,7 @@
 		var id string
 		if id, ep = r.call("bill"); ep != "d" {
 			r.wait(50 * ms)
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 		}
 	}
 	r.wait(200 * ms) // past three times 50 ms; one sample of 3 would leave its weight within twice the smallest
@@ -813,7 +813,7 @@
 		id, ep := r.call("read")
 		for n := 0; ep != "" && n < len(r.to[id]); n++ {
 			r.wait(10 * ms)
-			r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: tuliprock.Errored, Took: 10 * ms})
+			r.b.Outcome(r.now, balance.Outcome{ID: id, Attempt: n, Endpoint: r.to[id][n], Result: balance.Errored, Took: 10 * ms})
 		}
 	}
 	if extra := r.count("send") - before - asked; extra > asked/10+10 || extra < 5 {
@@ -825,9 +825,9 @@
 func TestKindSpeaksForEndpointsHardlySampled(t *testing.T) {
 	s := basic()
 	r := newRig(t, s)
-	l, took := tuliprock.List{Complete: true}, map[string]time.Duration{}
+	l, took := balance.List{Complete: true}, map[string]time.Duration{}
 	for i := range 20 {
-		e := tuliprock.Endpoint{ID: "f" + strconv.Itoa(i), Kind: "fast"}
+		e := balance.Endpoint{ID: "f" + strconv.Itoa(i), Kind: "fast"}
 		took[e.ID] = 40 * ms
 		if i%2 == 1 {
 			e.ID, e.Kind = "s"+strconv.Itoa(i), "slow"
@@ -853,7 +853,7 @@
 	r := newRig(t, basic(), "a", "b", "c")
 	took := map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms, "new": 20 * ms}
 	r.warm(300, took)
-	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new", Started: r.now}}})
+	r.b.EndpointList(r.now, balance.List{Entries: []balance.Endpoint{{ID: "new", Started: r.now}}})
 	share := r.warm(150, took)
 	if share["new"] == 0 || share["new"] > 150/4*2/3 {
 		t.Errorf("a cold endpoint of four got %d of 150 calls", share["new"])
@@ -870,9 +870,9 @@
 		id, ep = r.call("bill")
 		r.wait(20 * ms)
 		if ep == "c" {
-			r.end(id, tuliprock.Reset)
+			r.end(id, balance.Reset)
 		} else {
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 		}
 	}
 	r.warm(30, took)
@@ -890,7 +890,7 @@
 			break
 		}
 	}
-	r.b.Request(r.now, tuliprock.Request{ID: "late", Class: "read", Deadline: r.now + 60*ms})
+	r.b.Request(r.now, balance.Request{ID: "late", Class: "read", Deadline: r.now + 60*ms})
 	if r.did[len(r.did)-1] != "refuse late" {
 		t.Errorf("last action %q", r.did[len(r.did)-1])
 	}
@@ -907,12 +907,12 @@
 		if ep == "b" {
 			r.wait(ms)
 			r.b.ClientLeft(r.now, id)
-			r.end(id, tuliprock.Canceled)
+			r.end(id, balance.Canceled)
 			off++
 			continue
 		}
 		r.wait(50 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 	}
 	if off == 0 || off > 24 {
 		t.Errorf("b got %d of 40 turns; called off early, it must not pass for fast, nor lose its turns", off)
@@ -931,7 +931,7 @@
 		for _, id := range slices.Sorted(maps.Keys(due)) {
 			if r.now >= due[id] {
 				delete(due, id)
-				r.end(id, tuliprock.OK)
+				r.end(id, balance.OK)
 			}
 		}
 		r.call("read")
@@ -959,13 +959,13 @@
 		r.warm(11, took) // earns a resend, and moves the turns on
 		id, _ := r.call("read")
 		r.wait(10 * ms)
-		r.end(id, tuliprock.Errored)
+		r.end(id, balance.Errored)
 		if to := r.to[id]; len(to) == 2 {
 			if again++; to[0] == to[1] {
 				t.Fatalf("%s went to %v", id, to)
 			}
 			r.wait(took[to[1]])
-			r.end(id, tuliprock.OK)
+			r.end(id, balance.OK)
 		}
 	}
 	if again < 10 {
@@ -977,9 +977,9 @@
 // its answers came too late.
 func TestRoomFollowsTheReadyEndpoints(t *testing.T) {
 	r := newRig(t, basic(), "a", "b", "c", "d")
-	var l tuliprock.List
+	var l balance.List
 	for _, id := range []string{"b", "c", "d"} {
-		l.Entries = append(l.Entries, tuliprock.Endpoint{ID: id, State: tuliprock.Draining})
+		l.Entries = append(l.Entries, balance.Endpoint{ID: id, State: balance.Draining})
 	}
 	r.b.EndpointList(r.now, l)
 	for range 24 {
@@ -996,7 +996,7 @@
 	for range 6 {
 		r.ask("read", "")
 	}
-	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "b"}}})
+	r.b.EndpointList(r.now, balance.List{Entries: []balance.Endpoint{{ID: "b"}}})
 	r.wait(time.Second)
 	var trial string
 	for range 6 {
@@ -1008,7 +1008,7 @@
 		t.Fatal("no trial of the new endpoint")
 	}
 	r.wait(100 * ms)
-	r.end(trial, tuliprock.OK)
+	r.end(trial, balance.OK)
 	before := r.count("send")
 	for range 6 {
 		r.ask("read", "")
@@ -1022,20 +1022,20 @@
 func TestNothingGrowsWithEverNewNames(t *testing.T) {
 	r := newRig(t, basic(), "a")
 	for i := range 3000 {
-		r.b.EndpointList(r.now, tuliprock.List{Complete: true, Entries: []tuliprock.Endpoint{{ID: fmt.Sprint("e", i)}, {ID: fmt.Sprint("e", i+1)}}})
+		r.b.EndpointList(r.now, balance.List{Complete: true, Entries: []balance.Endpoint{{ID: fmt.Sprint("e", i)}, {ID: fmt.Sprint("e", i+1)}}})
 		id, ep := r.call([]string{"read", fmt.Sprint("class", i)}[i%2])
 		if ep == "" {
 			t.Fatalf("request %d is not sent", i)
 		}
 		r.wait(2 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 		r.b.ClientLeft(r.now, r.ask("read", fmt.Sprint("tenant", i)))
 		if last := fmt.Sprint("r", r.n); len(r.to[last]) > 0 {
-			r.end(last, tuliprock.Canceled)
+			r.end(last, balance.Canceled)
 		}
 	}
 	want := map[string]int{"classes": 2, "tenants": 0, "kinds": 1, "names": 2, "endpoints": 2, "table": 2, "requests": 0, "live": 0, "waiting": 0}
-	if kept := tuliprock.Kept(r.b); !maps.Equal(kept, want) {
+	if kept := balance.Kept(r.b); !maps.Equal(kept, want) {
 		t.Errorf("kept: %v", kept)
 	}
 }
@@ -1048,16 +1048,16 @@
 		all := map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms}
 		r.warm(30, all)
 		id, ep := r.call("read")
-		r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Endpoint: ep, Result: tuliprock.Reset, Took: ms, Reused: reused})
+		r.b.Outcome(r.now, balance.Outcome{ID: id, Endpoint: ep, Result: balance.Reset, Took: ms, Reused: reused})
 		if len(r.to[id]) != 2 || r.to[id][1] == ep {
 			t.Fatalf("reused %v: sent to %v", reused, r.to[id])
 		}
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 		if share := r.warm(9, all); (share[ep] >= 2) != reused {
 			t.Errorf("reused %v: then %d of 9 turns", reused, share[ep])
 		}
 		id, ep = r.call("bill")
-		r.b.Outcome(r.now, tuliprock.Outcome{ID: id, Endpoint: ep, Result: tuliprock.Reset, Took: ms, Reused: reused})
+		r.b.Outcome(r.now, balance.Outcome{ID: id, Endpoint: ep, Result: balance.Reset, Took: ms, Reused: reused})
 		if len(r.to[id]) != 1 || r.count("fail "+id) != 1 {
 			t.Errorf("reused %v: unsafe work sent to %v", reused, r.to[id])
 		}
@@ -1078,7 +1078,7 @@
 		}
 		share[ep]++
 		r.wait(50 * ms)
-		r.end(id, tuliprock.OK)
+		r.end(id, balance.OK)
 		r.idle[ep] = true
 	}
 	if moves > calls/2 {
--- a/deploy_test.go
+++ b/balance/deploy_test.go
@@ -1,4 +1,4 @@
-package tuliprock_test
+package balance_test
 
 import (
 	"os"
@@ -12,7 +12,7 @@
 // TestModuleFitsItsLimits reads the deploy file as the operators do and holds the module to its size.
 func TestModuleFitsItsLimits(t *testing.T) {
 	const mostLines, mostColumns, tab = 800, 110, 4
-	text, err := os.ReadFile(filepath.Join("deploy", "balancer.toml"))
+	text, err := os.ReadFile(filepath.Join("..", "deploy", "balancer.toml"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,10 +22,10 @@
 		}
 	}
 	policy := regexp.MustCompile(`(?m)^policy = \["([^"]+)"\]$`).FindSubmatch(text)
-	if policy == nil || string(policy[1]) != "balancer.go" {
-		t.Fatalf("policy is not balancer.go alone: %q", policy)
+	if policy == nil || string(policy[1]) != "balance/balancer.go" {
+		t.Fatalf("policy is not balance/balancer.go alone: %q", policy)
 	}
-	module, err := os.ReadFile(string(policy[1]))
+	module, err := os.ReadFile(filepath.Join("..", string(policy[1])))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/example_test.go
+++ b/balance/example_test.go
@@ -1,10 +1,10 @@
-package tuliprock_test
+package balance_test
 
 import (
 	"fmt"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // printer is a host that only says what it was asked to do. A real one would send, set timers and answer clients.
@@ -23,19 +23,19 @@
 func (printer) Log(line string)                            { fmt.Println(line) }
 
 func Example() {
-	b := tuliprock.New(0, tuliprock.Settings{
+	b := balance.New(0, balance.Settings{
 		Balancers: 1, MaxAttempts: 3, MayCancel: true, Resolution: time.Millisecond,
-		Classes: []tuliprock.Class{{Name: "lookup", Effect: tuliprock.Safe, Aim: time.Second}},
+		Classes: []balance.Class{{Name: "lookup", Effect: balance.Safe, Aim: time.Second}},
 	}, printer{})
-	b.EndpointList(0, tuliprock.List{Complete: true, Entries: []tuliprock.Endpoint{{ID: "10.0.0.1:80"}}})
+	b.EndpointList(0, balance.List{Complete: true, Entries: []balance.Endpoint{{ID: "10.0.0.1:80"}}})
 
 	now := 5 * time.Millisecond
-	b.Request(now, tuliprock.Request{ID: "r1", Class: "lookup", Deadline: now + 2*time.Second})
-	b.Outcome(now+20*time.Millisecond, tuliprock.Outcome{ID: "r1", Endpoint: "10.0.0.1:80", Result: tuliprock.OK,
+	b.Request(now, balance.Request{ID: "r1", Class: "lookup", Deadline: now + 2*time.Second})
+	b.Outcome(now+20*time.Millisecond, balance.Outcome{ID: "r1", Endpoint: "10.0.0.1:80", Result: balance.OK,
 		Took: 20 * time.Millisecond, Final: true})
 
-	b.EndpointList(time.Second, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "10.0.0.1:80", State: tuliprock.Draining}}})
-	b.Request(time.Second, tuliprock.Request{ID: "r2", Class: "lookup", Deadline: 3 * time.Second})
+	b.EndpointList(time.Second, balance.List{Entries: []balance.Endpoint{{ID: "10.0.0.1:80", State: balance.Draining}}})
+	b.Request(time.Second, balance.Request{ID: "r2", Class: "lookup", Deadline: 3 * time.Second})
 	b.Timer(2990 * time.Millisecond)
 	// Output:
 	// send r1 to 10.0.0.1:80
--- a/export_test.go
+++ b/balance/export_test.go
@@ -1,4 +1,4 @@
-package tuliprock
+package balance
 
 // Kept tells tests how much a Balancer holds of each sort.
 func Kept(b *Balancer) map[string]int {
--- a/rules_test.go
+++ b/balance/rules_test.go
@@ -1,4 +1,4 @@
-package tuliprock_test
+package balance_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const ms = time.Millisecond
@@ -17,9 +17,9 @@
 
 // sent is one attempt as the world sees it.
 type sent struct {
-	ep       tuliprock.Endpoint
+	ep       balance.Endpoint
 	at, ends time.Duration
-	result   tuliprock.Result
+	result   balance.Result
 	out      bool
 	ran      bool // ended, and nothing proves that it did not run
 	canceled bool
@@ -27,8 +27,8 @@
 
 // asked is one request as the world sees it.
 type asked struct {
-	tuliprock.Request
-	class    tuliprock.Class
+	balance.Request
+	class    balance.Class
 	attempts []*sent
 	ended    bool // has its answer, or its client left
 	told     bool // the balancer was told so, or did it itself, before the batch in hand
@@ -38,11 +38,11 @@
 type world struct {
 	t        testing.TB
 	rng      *rand.Rand
-	s        tuliprock.Settings
+	s        balance.Settings
 	now      time.Duration
-	b        *tuliprock.Balancer
-	list     map[string]tuliprock.Endpoint // as last told
-	stopped  map[string]time.Duration      // when told of a drain or removal
+	b        *balance.Balancer
+	list     map[string]balance.Endpoint // as last told
+	stopped  map[string]time.Duration    // when told of a drain or removal
 	requests map[string]*asked
 	order    []string
 	timers   []time.Duration
@@ -74,12 +74,12 @@
 		if a.out {
 			w.t.Fatalf("%v: second copy of %s", w.now, id)
 		}
-		if !a.out && !a.ran || q.class.Effect == tuliprock.Safe {
+		if !a.out && !a.ran || q.class.Effect == balance.Safe {
 			continue
 		}
 		c := q.class
-		if c.Effect == tuliprock.Unsafe || w.now > a.at+c.Window || c.Group == tuliprock.GroupZone && a.ep.Zone != e.Zone ||
-			c.Group == tuliprock.GroupCell && a.ep.Cell != e.Cell {
+		if c.Effect == balance.Unsafe || w.now > a.at+c.Window || c.Group == balance.GroupZone && a.ep.Zone != e.Zone ||
+			c.Group == balance.GroupCell && a.ep.Cell != e.Cell {
 			w.t.Fatalf("%v: %s may take effect twice at %s", w.now, id, ep)
 		}
 	}
@@ -90,15 +90,15 @@
 	a := &sent{ep: e, at: w.now, out: true, ends: w.now + time.Duration(1+w.rng.IntN(300))*ms}
 	switch n := w.rng.IntN(20); {
 	case n < 11:
-		a.result = tuliprock.OK
+		a.result = balance.OK
 	case n == 11: // hangs
-		a.result, a.ends = tuliprock.TimedOut, w.now+timeout
+		a.result, a.ends = balance.TimedOut, w.now+timeout
 	default:
-		a.result = []tuliprock.Result{tuliprock.Errored, tuliprock.Full, tuliprock.ConnectFailed, tuliprock.Reset,
-			tuliprock.NotSent, tuliprock.OK, tuliprock.TimedOut, tuliprock.Errored}[n-12]
+		a.result = []balance.Result{balance.Errored, balance.Full, balance.ConnectFailed, balance.Reset,
+			balance.NotSent, balance.OK, balance.TimedOut, balance.Errored}[n-12]
 	}
 	if a.ends > w.now+timeout {
-		a.result, a.ends = tuliprock.TimedOut, w.now+timeout
+		a.result, a.ends = balance.TimedOut, w.now+timeout
 	}
 	q.attempts = append(q.attempts, a)
 }
@@ -114,7 +114,7 @@
 	if a := q.attempts[n]; a.out && !a.canceled {
 		a.canceled = true
 		if w.rng.IntN(4) > 0 || a.ends > w.now+50*ms { // else another outcome is on its way
-			a.result, a.ends = tuliprock.Canceled, w.now
+			a.result, a.ends = balance.Canceled, w.now
 		}
 	}
 }
@@ -123,8 +123,8 @@
 	q := w.answer(id)
 	w.answers[1]++
 	for _, a := range q.attempts {
-		if (a.out || a.ran) && (q.class.Effect == tuliprock.Unsafe ||
-			q.class.Effect == tuliprock.Keyed && q.class.Group != tuliprock.GroupAll) {
+		if (a.out || a.ran) && (q.class.Effect == balance.Unsafe ||
+			q.class.Effect == balance.Keyed && q.class.Group != balance.GroupAll) {
 			w.t.Fatalf("%v: %s is refused though it may have run", w.now, id)
 		}
 	}
@@ -163,10 +163,10 @@
 func (w *world) start(seed uint64) {
 	w.requests, w.order, w.timers, w.probes = map[string]*asked{}, nil, nil, nil
 	w.s.Seed = seed
-	w.b = tuliprock.New(w.now, w.s, w)
-	l := tuliprock.List{Complete: true}
+	w.b = balance.New(w.now, w.s, w)
+	l := balance.List{Complete: true}
 	for i := range 12 {
-		if e, ok := w.list["e"+strconv.Itoa(i)]; ok && e.State != tuliprock.Gone {
+		if e, ok := w.list["e"+strconv.Itoa(i)]; ok && e.State != balance.Gone {
 			l.Entries = append(l.Entries, e)
 		}
 	}
@@ -175,37 +175,37 @@
 
 func (w *world) change() {
 	if w.rng.IntN(10) == 0 {
-		w.b.EndpointList(w.now, tuliprock.List{Failed: true})
+		w.b.EndpointList(w.now, balance.List{Failed: true})
 		return
 	}
 	id := w.rng.IntN(12)
-	e := tuliprock.Endpoint{ID: "e" + strconv.Itoa(id), State: tuliprock.State(w.rng.IntN(3)), Zone: "z" + strconv.Itoa(id%2),
+	e := balance.Endpoint{ID: "e" + strconv.Itoa(id), State: balance.State(w.rng.IntN(3)), Zone: "z" + strconv.Itoa(id%2),
 		Kind: "k" + strconv.Itoa(id%3), Cell: id % 4}
 	if w.rng.IntN(3) > 0 {
-		e.State = tuliprock.Ready
+		e.State = balance.Ready
 	}
 	old, known := w.list[e.ID]
-	if e.State == tuliprock.Ready && (!known || old.State == tuliprock.Gone || w.rng.IntN(3) == 0) {
+	if e.State == balance.Ready && (!known || old.State == balance.Gone || w.rng.IntN(3) == 0) {
 		e.Started = w.now
 	} else {
 		e.Started = old.Started
 	}
-	if e.State == tuliprock.Ready {
+	if e.State == balance.Ready {
 		delete(w.stopped, e.ID)
 	} else if _, ok := w.stopped[e.ID]; !ok {
 		w.stopped[e.ID] = w.now
 	}
 	w.list[e.ID] = e
-	w.b.EndpointList(w.now, tuliprock.List{Entries: []tuliprock.Endpoint{e}})
+	w.b.EndpointList(w.now, balance.List{Entries: []balance.Endpoint{e}})
 }
 
 func (w *world) call() {
 	w.next++
 	c := w.s.Classes[w.rng.IntN(len(w.s.Classes))]
-	r := tuliprock.Request{ID: "r" + strconv.Itoa(w.next), Class: c.Name, Tenant: "t" + strconv.Itoa(w.rng.IntN(3)),
+	r := balance.Request{ID: "r" + strconv.Itoa(w.next), Class: c.Name, Tenant: "t" + strconv.Itoa(w.rng.IntN(3)),
 		Deadline: w.now + time.Duration(w.rng.IntN(1500))*ms, Repeat: w.rng.IntN(5) == 0}
 	if w.rng.IntN(30) == 0 {
-		r.Class, c = "never listed", tuliprock.Class{Effect: tuliprock.Unsafe}
+		r.Class, c = "never listed", balance.Class{Effect: balance.Unsafe}
 	}
 	w.requests[r.ID] = &asked{Request: r, class: c}
 	w.order = append(w.order, r.ID)
@@ -238,9 +238,9 @@
 	probes := w.probes
 	w.probes = nil
 	for _, ep := range probes {
-		p := tuliprock.ProbeResult{Endpoint: ep, Load: tuliprock.Load{Known: true, Held: float64(w.rng.IntN(5))}}
+		p := balance.ProbeResult{Endpoint: ep, Load: balance.Load{Known: true, Held: float64(w.rng.IntN(5))}}
 		if w.rng.IntN(6) == 0 {
-			p.Result, p.Load.Known = tuliprock.ConnectFailed, false
+			p.Result, p.Load.Known = balance.ConnectFailed, false
 		}
 		if w.rng.IntN(20) > 0 { // some are lost
 			w.b.Probed(w.now, p)
@@ -256,17 +256,17 @@
 		out := false
 		for n, a := range q.attempts {
 			if a.out && a.ends <= w.now {
-				a.out, a.ran = false, a.result != tuliprock.Full && a.result != tuliprock.ConnectFailed && a.result != tuliprock.NotSent
-				if a.result == tuliprock.OK && !q.ended {
+				a.out, a.ran = false, a.result != balance.Full && a.result != balance.ConnectFailed && a.result != balance.NotSent
+				if a.result == balance.OK && !q.ended {
 					q.ended = true
 					w.answers[0]++
 				}
 				final := q.ended
 				q.told = q.told || final
-				w.b.Outcome(w.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: a.ep.ID, Result: a.result,
+				w.b.Outcome(w.now, balance.Outcome{ID: id, Attempt: n, Endpoint: a.ep.ID, Result: a.result,
 					Took: w.now - a.at, Final: final})
 				if w.rng.IntN(30) == 0 { // a host that reports twice must do no harm
-					w.b.Outcome(w.now, tuliprock.Outcome{ID: id, Attempt: n, Endpoint: a.ep.ID, Result: a.result, Final: final})
+					w.b.Outcome(w.now, balance.Outcome{ID: id, Attempt: n, Endpoint: a.ep.ID, Result: a.result, Final: final})
 				}
 			}
 			out = out || a.out
@@ -283,22 +283,22 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	w := &world{t: t, rng: rng, now: time.Duration(1+rng.IntN(1000)) * time.Second, list: map[string]tuliprock.Endpoint{},
+	w := &world{t: t, rng: rng, now: time.Duration(1+rng.IntN(1000)) * time.Second, list: map[string]balance.Endpoint{},
 		stopped: map[string]time.Duration{}, cold: map[string][]time.Duration{}}
-	w.s = tuliprock.Settings{Balancers: 1 + rng.IntN(3), Tier: rng.IntN(2), TiersBelow: rng.IntN(3),
+	w.s = balance.Settings{Balancers: 1 + rng.IntN(3), Tier: rng.IntN(2), TiersBelow: rng.IntN(3),
 		MustSubscribe: rng.IntN(2) == 0, AskWithin: 10 * time.Second, MaxAttempts: 1 + rng.IntN(5),
 		MayCancel: rng.IntN(4) > 0, MayProbe: rng.IntN(3) == 0,
 		Resolution: time.Duration(1+rng.IntN(5)) * ms,
 		ColdFrom:   0.3, ColdFor: 9 * time.Second,
-		Tenants: []tuliprock.Tenant{{Name: "t0", Quota: 100}, {Name: "t1", Quota: 5}}}
-	for i, effect := range []tuliprock.Effect{tuliprock.Safe, tuliprock.Keyed, tuliprock.Keyed, tuliprock.Keyed, tuliprock.Unsafe} {
-		w.s.Classes = append(w.s.Classes, tuliprock.Class{Name: "c" + strconv.Itoa(i), Effect: effect,
-			Group: tuliprock.Group(max(i-1, 0) % 3), Window: time.Duration(100+rng.IntN(400)) * ms, Aim: 400 * ms,
+		Tenants: []balance.Tenant{{Name: "t0", Quota: 100}, {Name: "t1", Quota: 5}}}
+	for i, effect := range []balance.Effect{balance.Safe, balance.Keyed, balance.Keyed, balance.Keyed, balance.Unsafe} {
+		w.s.Classes = append(w.s.Classes, balance.Class{Name: "c" + strconv.Itoa(i), Effect: effect,
+			Group: balance.Group(max(i-1, 0) % 3), Window: time.Duration(100+rng.IntN(400)) * ms, Aim: 400 * ms,
 		})
 	}
 	for i := range 8 {
 		id := "e" + strconv.Itoa(i)
-		w.list[id] = tuliprock.Endpoint{ID: id, Zone: "z" + strconv.Itoa(i%2), Kind: "k" + strconv.Itoa(i%3), Cell: i % 4}
+		w.list[id] = balance.Endpoint{ID: id, Zone: "z" + strconv.Itoa(i%2), Kind: "k" + strconv.Itoa(i%3), Cell: i % 4}
 	}
 	w.start(seed)
 	return w
--- a/state.go
+++ b/balance/state.go
@@ -1,4 +1,4 @@
-package tuliprock
+package balance
 
 // What a Balancer remembers, the measures read off it, and bookkeeping. No decision is made in this file.
 
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,7 +8,7 @@
 	"os"
 	"runtime/debug"
 
-	"tuliprock"
+	"tuliprock/balance"
 	"tuliprock/internal/wire"
 )
 
@@ -23,19 +23,19 @@
 // run plays the batches of in until it ends.
 func run(in io.Reader, out io.Writer) error {
 	r := wire.NewReader(in)
-	return r.Run(&hosts{out: out, reader: r, running: map[int]*tuliprock.Balancer{}})
+	return r.Run(&hosts{out: out, reader: r, running: map[int]*balance.Balancer{}})
 }
 
 type hosts struct {
 	out     io.Writer
 	reader  *wire.Reader
 	reply   wire.Reply
-	running map[int]*tuliprock.Balancer
+	running map[int]*balance.Balancer
 }
 
 // Start implements wire.Handler.
-func (h *hosts) Start(instance int, s tuliprock.Settings) error {
-	h.running[instance] = tuliprock.New(h.reader.Now(), s, h.reply.Of(instance))
+func (h *hosts) Start(instance int, s balance.Settings) error {
+	h.running[instance] = balance.New(h.reader.Now(), s, h.reply.Of(instance))
 	return nil
 }
 
@@ -49,7 +49,7 @@
 }
 
 // Instance implements wire.Handler.
-func (h *hosts) Instance(instance int) (tuliprock.Events, error) {
+func (h *hosts) Instance(instance int) (balance.Events, error) {
 	b, ok := h.running[instance]
 	if !ok {
 		return nil, fmt.Errorf("instance %d was never started", instance)
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const (
@@ -30,14 +30,14 @@
 
 // Member is an endpoint as discovery lists it.
 type Member struct {
-	ID        string          `json:"id"`
-	Addr      string          `json:"addr"`
-	Zone      string          `json:"zone"`
-	Kind      string          `json:"kind"`
-	Cell      int             `json:"cell"`
-	StateName string          `json:"state"`
-	StartedMs int64           `json:"started_ms"`
-	State     tuliprock.State `json:"-"`
+	ID        string        `json:"id"`
+	Addr      string        `json:"addr"`
+	Zone      string        `json:"zone"`
+	Kind      string        `json:"kind"`
+	Cell      int           `json:"cell"`
+	StateName string        `json:"state"`
+	StartedMs int64         `json:"started_ms"`
+	State     balance.State `json:"-"`
 }
 
 // Members is a message from discovery: the whole list, or what has changed.
@@ -47,7 +47,7 @@
 	Servers []Member `json:"servers"`
 }
 
-var stateNames = map[string]tuliprock.State{"Ready": tuliprock.Ready, "Terminating": tuliprock.Draining, "Gone": tuliprock.Gone}
+var stateNames = map[string]balance.State{"Ready": balance.Ready, "Terminating": balance.Draining, "Gone": balance.Gone}
 
 // parseMembers reads and checks a message from discovery. One bad entry spoils the message.
 func parseMembers(text []byte) (Members, error) {
@@ -70,7 +70,7 @@
 		if s.ID == "" {
 			return Members{}, errors.New("id: missing")
 		}
-		if s.State == tuliprock.Gone {
+		if s.State == balance.Gone {
 			continue
 		}
 		if err := checkAddress("addr", s.Addr); err != nil {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 func members(version int, full bool, entries ...string) string {
@@ -145,7 +145,7 @@
 	}
 	a := m.Servers[0]
 	if *m.Version != 3 || !m.Full || a.ID != "a" || a.Addr != "127.0.0.1:1" || a.Zone != "z" || a.Kind != "k" || a.Cell != 3 ||
-		a.State != tuliprock.Ready || m.Servers[1].State != tuliprock.Gone {
+		a.State != balance.Ready || m.Servers[1].State != balance.Gone {
 		t.Errorf("%+v", m)
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // clock gives instants: a monotonic reading since the start, well above zero, so that 0 means long ago and starts
@@ -35,7 +35,7 @@
 
 // call is a request that was taken.
 type call struct {
-	tuliprock.Request
+	balance.Request
 	message *message
 	replies chan reply // takes the one final answer without blocking
 
@@ -48,7 +48,7 @@
 // loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
 type loop struct {
 	clock    clock
-	balancer tuliprock.Events
+	balancer balance.Events
 	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
@@ -61,10 +61,10 @@
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
-func newLoop(s tuliprock.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
+func newLoop(s balance.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
 	l := &loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
 		upstream: u, ask: ask, log: log, calls: map[string]*call{}, members: map[string]bool{}}
-	l.balancer = tuliprock.New(l.clock.now(), s, host{l})
+	l.balancer = balance.New(l.clock.now(), s, host{l})
 	return l
 }
 
@@ -152,10 +152,10 @@
 }
 
 // ended reports the end of an attempt. A whole answer is passed on at once; one that comes too late is dropped.
-func (l *loop) ended(now time.Duration, c *call, o tuliprock.Outcome, sent time.Duration, a answer) {
+func (l *loop) ended(now time.Duration, c *call, o balance.Outcome, sent time.Duration, a answer) {
 	c.out--
 	o.Took, o.Final = now-sent, c.over
-	if o.Result == tuliprock.OK && !c.over {
+	if o.Result == balance.OK && !c.over {
 		o.Final = true
 		l.finish(c, reply{status: statusServed, answer: a})
 	}
@@ -165,18 +165,18 @@
 
 // list reports what discovery says.
 func (l *loop) list(now time.Duration, m Members) {
-	out := tuliprock.List{Complete: m.Full}
+	out := balance.List{Complete: m.Full}
 	listed := map[string]bool{}
 	for _, s := range m.Servers {
-		out.Entries = append(out.Entries, tuliprock.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
+		out.Entries = append(out.Entries, balance.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, Started: l.clock.instant(s.StartedMs)})
 		listed[s.ID] = true
-		if s.State == tuliprock.Gone {
+		if s.State == balance.Gone {
 			l.remove(s.ID)
 			continue
 		}
 		l.members[s.ID] = true
-		l.upstream.setMember(s.ID, s.Addr, s.State == tuliprock.Ready)
+		l.upstream.setMember(s.ID, s.Addr, s.State == balance.Ready)
 	}
 	if m.Full {
 		for id := range l.members {
@@ -197,21 +197,21 @@
 // back.
 type host struct{ *loop }
 
-var _ tuliprock.Host = host{}
+var _ balance.Host = host{}
 
-// Send implements tuliprock.Host.
+// Send implements balance.Host.
 func (h host) Send(id, endpoint string, timeout time.Duration) {
 	c := h.calls[id]
 	if c == nil {
 		return // not a request of ours: nothing to report either
 	}
-	o := tuliprock.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
+	o := balance.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
 	sent := h.clock.now()
 	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, c.Deadline-sent))
 	c.cancels = append(c.cancels, cancel)
 	c.out++
 	if c.over {
-		o.Result = tuliprock.NotSent
+		o.Result = balance.NotSent
 		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, answer{}) })
 		return
 	}
@@ -223,39 +223,39 @@
 	}()
 }
 
-// Cancel implements tuliprock.Host.
+// Cancel implements balance.Host.
 func (h host) Cancel(id string, n int) {
 	if c := h.calls[id]; c != nil && n >= 0 && n < len(c.cancels) {
 		c.cancels[n]()
 	}
 }
 
-// Refuse implements tuliprock.Host.
+// Refuse implements balance.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	h.finish(h.calls[id], reply{status: statusRefused, retryAfter: retryAfter})
 }
 
-// Fail implements tuliprock.Host.
+// Fail implements balance.Host.
 func (h host) Fail(id string) { h.finish(h.calls[id], reply{status: statusFailed}) }
 
-// Probe implements tuliprock.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
+// Probe implements balance.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
 func (h host) Probe(endpoint string) {
 	h.later = append(h.later, func(now time.Duration) {
-		h.balancer.Probed(now, tuliprock.ProbeResult{Endpoint: endpoint, Result: tuliprock.NotSent})
+		h.balancer.Probed(now, balance.ProbeResult{Endpoint: endpoint, Result: balance.NotSent})
 	})
 }
 
-// Idle implements tuliprock.Host.
+// Idle implements balance.Host.
 func (h host) Idle(endpoint string) bool { return h.upstream.idle(endpoint) }
 
-// Subscribe implements tuliprock.Host.
+// Subscribe implements balance.Host.
 func (h host) Subscribe() { h.ask() }
 
-// Timer implements tuliprock.Host.
+// Timer implements balance.Host.
 func (h host) Timer(at time.Duration) {
 	i, _ := slices.BinarySearch(h.timers, at)
 	h.timers = slices.Insert(h.timers, i, at)
 }
 
-// Log implements tuliprock.Host.
+// Log implements balance.Host.
 func (h host) Log(line string) { h.log.Info(line) }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // What callers are answered. Only a refusal is 503, and nothing is 429: both promise that nothing has run.
@@ -37,7 +37,7 @@
 // server is the callers' side.
 type server struct {
 	loop  *loop
-	class map[string]tuliprock.Effect // the classes that are served
+	class map[string]balance.Effect // the classes that are served
 	log   *slog.Logger
 
 	bodyTimeout time.Duration
@@ -146,7 +146,7 @@
 		deadline = min(deadline, end)
 	}
 	return &call{
-		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
+		Request: balance.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: deadline, Repeat: r.Header.Get("Req-Retry") == "1"},
 		message: &message{method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
 		replies: make(chan reply, 1),
@@ -167,9 +167,9 @@
 		return "", http.StatusNotFound, fmt.Errorf("class %.40q is not served", class)
 	case r.Method != methodOf(effect):
 		return "", http.StatusMethodNotAllowed, fmt.Errorf("method %.40q is not served here", r.Method)
-	case effect == tuliprock.Safe && len(body) > 0:
+	case effect == balance.Safe && len(body) > 0:
 		return "", http.StatusBadRequest, errors.New("a body is not wanted here")
-	case effect == tuliprock.Keyed: // without a key endpoints could not drop its repeats
+	case effect == balance.Keyed: // without a key endpoints could not drop its repeats
 		if _, err := one(r.Header, "Idempotency-Key"); err != nil {
 			return "", http.StatusBadRequest, err
 		}
@@ -177,8 +177,8 @@
 	return class, 0, nil
 }
 
-func methodOf(e tuliprock.Effect) string {
-	if e == tuliprock.Safe {
+func methodOf(e balance.Effect) string {
+	if e == balance.Safe {
 		return http.MethodGet
 	}
 	return http.MethodPost
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/net/netutil"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const (
@@ -49,7 +49,7 @@
 	l := newLoop(settings, up, d.subscribe, log)
 	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
 	d.failed = func() {
-		l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
+		l.post(func(now time.Duration) { l.balancer.EndpointList(now, balance.List{Failed: true}) })
 	}
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
@@ -59,7 +59,7 @@
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	conns := newCallers(netutil.LimitListener(listener, each+spareCallers), each)
 
-	s := &server{loop: l, class: map[string]tuliprock.Effect{}, log: log, bodyTimeout: bodyTimeout}
+	s := &server{loop: l, class: map[string]balance.Effect{}, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
 		s.class[class.Name] = class.Effect
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
@@ -429,8 +429,8 @@
 
 // rearming asks for a timer that is due at once, each time one rings.
 type rearming struct {
-	tuliprock.Events
-	host  tuliprock.Host
+	balance.Events
+	host  balance.Host
 	rings int
 }
 
@@ -441,7 +441,7 @@
 
 // A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
 func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
-	l := newLoop(tuliprock.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	l := newLoop(balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
 	r := &rearming{host: host{l}}
 	l.balancer = r
 	r.host.Timer(clockStart)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const (
@@ -304,7 +304,7 @@
 
 // attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
 // attempt returns: no second attempt can be out beside this one. It tells whether the connection had served before.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) (r tuliprock.Result, reused bool, a answer) {
+func (u *upstream) attempt(ctx context.Context, id string, m *message) (r balance.Result, reused bool, a answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
 	if err != nil {
@@ -327,19 +327,19 @@
 )
 
 // notConnected is the outcome where no connection came about. What is lacking here says nothing of the endpoint.
-func notConnected(err error) tuliprock.Result {
+func notConnected(err error) balance.Result {
 	for _, own := range []error{errNoAddress, errNoDescriptors, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, own) {
-			return tuliprock.NotSent
+			return balance.NotSent
 		}
 	}
-	return tuliprock.ConnectFailed
+	return balance.ConnectFailed
 }
 
 // unlessCanceled is r, or Canceled if the attempt was called off.
-func unlessCanceled(ctx context.Context, r tuliprock.Result) tuliprock.Result {
+func unlessCanceled(ctx context.Context, r balance.Result) balance.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return tuliprock.Canceled
+		return balance.Canceled
 	}
 	return r
 }
@@ -349,23 +349,23 @@
 
 // broken is the outcome of an attempt whose last byte was written and whose whole answer has not come. A spoilt answer
 // is an error of an endpoint that runs; only a broken connection may mean that it went down.
-func (c *conn) broken(ctx context.Context, err error) tuliprock.Result {
+func (c *conn) broken(ctx context.Context, err error) balance.Result {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return tuliprock.TimedOut
+		return balance.TimedOut
 	case ctx.Err() != nil:
-		return tuliprock.Canceled
+		return balance.Canceled
 	case c.limit.N > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)):
-		return tuliprock.Reset
+		return balance.Reset
 	}
-	return tuliprock.Errored
+	return balance.Errored
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, method string, text []byte) (r tuliprock.Result, a answer, reusable bool) {
+func (c *conn) exchange(ctx context.Context, method string, text []byte) (r balance.Result, a answer, reusable bool) {
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}, false
+		return unlessCanceled(ctx, balance.ConnectFailed), answer{}, false
 	}
 	resp, body, err := c.readAnswer(method)
 	if err != nil {
@@ -374,11 +374,11 @@
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return tuliprock.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
+		return balance.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
-		return tuliprock.Full, answer{}, reusable
+		return balance.Full, answer{}, reusable
 	}
-	return tuliprock.Errored, answer{}, reusable
+	return balance.Errored, answer{}, reusable
 }
 
 func isUnavailable(status int) bool {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 const patience = 20 * time.Second // no test should come near it
@@ -96,37 +96,37 @@
 	head := "HTTP/1.1 200 OK\r\nContent-Length: "
 	for name, row := range map[string]struct {
 		says string
-		want tuliprock.Result
+		want balance.Result
 		stay bool
 	}{
-		"200":                      {served, tuliprock.OK, true},
-		"200 in chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", tuliprock.OK, true},
-		"200 after interim":        {"HTTP/1.1 103 Early Hints\r\n\r\n" + served, tuliprock.OK, true},
-		"500":                      {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
-		"503 declined":             {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Full, true},
-		"504 declined":             {"HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Full, true},
-		"503 that may have run":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
-		"500 that claims declined": {"HTTP/1.1 500 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", tuliprock.Errored, true},
-		"nothing, then an end":     {"", tuliprock.Reset, false},
-		"half a head":              {head, tuliprock.Reset, false},
-		"half a body":              {head + "9\r\n\r\nhi", tuliprock.Reset, false},
-		"half of the chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", tuliprock.Reset, false},
-		"no length":                {"HTTP/1.1 200 OK\r\n\r\nhi", tuliprock.Errored, true},
-		"too long a body":          {head + "70000\r\n\r\n" + strings.Repeat("x", 70000), tuliprock.Errored, true},
-		"a head without end":       {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200000), tuliprock.Errored, true},
-		"noise without end":        {"\x00\x01", tuliprock.Errored, true},
-		"a head that stops":        {head, tuliprock.Errored, true},
-		"a body that stops":        {head + "9\r\n\r\nhi", tuliprock.Errored, true},
-		"3 GB announced":           {head + "3000000000\r\n\r\nhi", tuliprock.Errored, true},
-		"a negative length":        {head + "-2\r\n\r\nhi", tuliprock.Errored, true},
-		"two framings":             {head + "2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", tuliprock.Errored, true},
-		"two lengths":              {head + "2\r\nContent-Length: 3\r\n\r\nhi", tuliprock.Errored, true},
-		"bare line feeds":          {"HTTP/1.1 200 OK\nContent-Length: 2\n\r\n\r\nhi", tuliprock.Errored, true},
-		"a folded field":           {"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", tuliprock.Errored, true},
-		"another protocol":         {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + served, tuliprock.Errored, true},
-		"only interim":             {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + served, tuliprock.Errored, true},
-		"an unreadable report":     {"HTTP/1.1 200 OK\r\nSrv-Load: \xff;=,,inflight\r\nContent-Length: 2\r\n\r\nhi", tuliprock.OK, true},
-		"noise":                    {"\x00\x01\r\n\r\n", tuliprock.Errored, true},
+		"200":                      {served, balance.OK, true},
+		"200 in chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.OK, true},
+		"200 after interim":        {"HTTP/1.1 103 Early Hints\r\n\r\n" + served, balance.OK, true},
+		"500":                      {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"503 declined":             {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
+		"504 declined":             {"HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
+		"503 that may have run":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"500 that claims declined": {"HTTP/1.1 500 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"nothing, then an end":     {"", balance.Reset, false},
+		"half a head":              {head, balance.Reset, false},
+		"half a body":              {head + "9\r\n\r\nhi", balance.Reset, false},
+		"half of the chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", balance.Reset, false},
+		"no length":                {"HTTP/1.1 200 OK\r\n\r\nhi", balance.Errored, true},
+		"too long a body":          {head + "70000\r\n\r\n" + strings.Repeat("x", 70000), balance.Errored, true},
+		"a head without end":       {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200000), balance.Errored, true},
+		"noise without end":        {"\x00\x01", balance.Errored, true},
+		"a head that stops":        {head, balance.Errored, true},
+		"a body that stops":        {head + "9\r\n\r\nhi", balance.Errored, true},
+		"3 GB announced":           {head + "3000000000\r\n\r\nhi", balance.Errored, true},
+		"a negative length":        {head + "-2\r\n\r\nhi", balance.Errored, true},
+		"two framings":             {head + "2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.Errored, true},
+		"two lengths":              {head + "2\r\nContent-Length: 3\r\n\r\nhi", balance.Errored, true},
+		"bare line feeds":          {"HTTP/1.1 200 OK\nContent-Length: 2\n\r\n\r\nhi", balance.Errored, true},
+		"a folded field":           {"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", balance.Errored, true},
+		"another protocol":         {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + served, balance.Errored, true},
+		"only interim":             {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + served, balance.Errored, true},
+		"an unreadable report":     {"HTTP/1.1 200 OK\r\nSrv-Load: \xff;=,,inflight\r\nContent-Length: 2\r\n\r\nhi", balance.OK, true},
+		"noise":                    {"\x00\x01\r\n\r\n", balance.Errored, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, says(row.says, row.stay))
@@ -134,7 +134,7 @@
 			if result != row.want {
 				t.Errorf("outcome %v, want %v", result, row.want)
 			}
-			if want := map[bool]string{true: "hi"}[row.want == tuliprock.OK]; string(a.body) != want {
+			if want := map[bool]string{true: "hi"}[row.want == balance.OK]; string(a.body) != want {
 				t.Errorf("body %q, want %q", a.body, want)
 			}
 			if n := e.requests.Load(); n != 1 {
@@ -148,19 +148,19 @@
 	e := newEndpoint(t, says(served, true))
 	u := testUpstream(t, e.addr)
 	u.dialTimeout = time.Nanosecond
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.ConnectFailed {
 		t.Errorf("never up: %v", r)
 	}
 	e.listener.Close()
 	u.dialTimeout = patience
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.ConnectFailed {
 		t.Errorf("refused: %v", r)
 	}
-	if r, _, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.NotSent {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != balance.NotSent {
 		t.Errorf("no address: %v", r)
 	}
 	u.most = 0 // a shortage here must not count against the endpoint
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.NotSent {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.NotSent {
 		t.Errorf("no descriptors: %v", r)
 	}
 	if u.open != 0 {
@@ -184,14 +184,14 @@
 	}()
 	m := get("/c")
 	m.method, m.body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
-	if r, _, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
+	if r, _, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != balance.ConnectFailed {
 		t.Errorf("outcome %v", r)
 	}
 }
 
 // The connection must be closed before the outcome is known: the next attempt would be a second one out.
 func TestGivingUpClosesTheConnection(t *testing.T) {
-	for _, want := range []tuliprock.Result{tuliprock.TimedOut, tuliprock.Canceled} {
+	for _, want := range []balance.Result{balance.TimedOut, balance.Canceled} {
 		came, closed := make(chan bool, 1), make(chan error, 1)
 		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 			came <- true
@@ -201,7 +201,7 @@
 		})
 		u := testUpstream(t, e.addr)
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if want == tuliprock.TimedOut {
+		if want == balance.TimedOut {
 			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
 		} else {
 			go func() { <-came; cancel() }()
@@ -234,10 +234,10 @@
 		m := get("/c")
 		m.method = method
 		m.header.Set("Idempotency-Key", "k")
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", m); r != balance.OK {
 			t.Fatalf("first: %v", r)
 		}
-		if r, reused, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset || !reused {
+		if r, reused, _ := u.attempt(ctxFor(t, patience), "a", m); r != balance.Reset || !reused {
 			t.Errorf("%s on a connection that broke: %v, reused %v", method, r, reused)
 		}
 		if n, c := e.requests.Load(), e.connections.Load(); n != 2 || c != 1 {
@@ -268,12 +268,12 @@
 			return n > 1
 		})
 		u := testUpstream(t, e.addr)
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
 			t.Fatalf("%s: first: %v", name, r)
 		}
 		answered <- true
 		until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
 			t.Errorf("%s: second: %v", name, r)
 		}
 		if c := e.connections.Load(); c != 2 {
@@ -288,7 +288,7 @@
 	u := testUpstream(t, e.addr)
 	try := func(want int32) {
 		t.Helper()
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
 			t.Fatalf("outcome %v", r)
 		}
 		if c := e.connections.Load(); c != want {
@@ -315,7 +315,7 @@
 	u := testUpstream(t, e.addr, f.addr)
 	u.most = 1
 	for _, id := range []string{"a", "b", "a"} {
-		if r, _, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
+		if r, _, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != balance.OK {
 			t.Errorf("%s: %v", id, r)
 		}
 		if u.open != 1 {
@@ -342,7 +342,7 @@
 	for _, id := range []string{"r1", "r2"} {
 		m := get("/c")
 		m.header.Set("Req-Id", id)
-		if r, _, a := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK || string(a.body) != id {
+		if r, _, a := u.attempt(ctxFor(t, patience), "a", m); r != balance.OK || string(a.body) != id {
 			t.Errorf("request %s: %v, answer %q", id, r, a.body)
 		}
 		if id == "r1" {
@@ -365,7 +365,7 @@
 	if u.idle("a") || u.idle("unknown") {
 		t.Error("idle before the first attempt")
 	}
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/look")); r != tuliprock.OK {
+	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/look")); r != balance.OK {
 		t.Fatal(r)
 	}
 	if !u.idle("a") {
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A Reply gathers the actions of one batch. Its Of method gives the tuliprock.Host of an instance.
+// A Reply gathers the actions of one batch. Its Of method gives the balance.Host of an instance.
 type Reply struct {
 	buf  []byte
 	last int // the instance whose actions were written last
@@ -99,7 +99,7 @@
 	h.text("Endpoint", endpoint).end()
 }
 
-// Idle implements tuliprock.Host: the wire tells nothing of connections.
+// Idle implements balance.Host: the wire tells nothing of connections.
 func (h *Host) Idle(string) bool { return false }
 
 // Subscribe writes a LISTEN.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // settings is the shape of the START message's Config, as far as it is used.
@@ -44,7 +44,7 @@
 
 // Settings is what the object says to a host: the module's part, and what a host with connections of its own needs.
 type Settings struct {
-	tuliprock.Settings
+	balance.Settings
 	ConnIdle    time.Duration // an endpoint closes a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
 }
@@ -56,7 +56,7 @@
 		return Settings{}, fmt.Errorf("Config: %w", err)
 	}
 	s := Settings{ConnIdle: us(c.Permissions.ConnIdleUs), DialTimeout: us(c.Permissions.DialTimeoutUs)}
-	s.Settings = tuliprock.Settings{
+	s.Settings = balance.Settings{
 		Balancers: c.NInstances, Index: c.Me, Tier: c.Tier, TiersBelow: max(len(c.Tiers)-1-c.Tier, 0),
 		AskWithin: us(c.Rules.AskWithinUs), MaxAttempts: c.Permissions.TryLimit,
 		MayCancel:  c.Permissions.MayCancel,
@@ -74,31 +74,31 @@
 		return s, fmt.Errorf("Config: unknown Discovery %q", c.Discovery)
 	}
 	for _, l := range c.Lanes {
-		k := tuliprock.Class{Name: l.Name, Window: us(l.WindowUs), Aim: us(l.OnTimeUs)}
+		k := balance.Class{Name: l.Name, Window: us(l.WindowUs), Aim: us(l.OnTimeUs)}
 		switch l.Semantics {
 		case "read_like":
-			k.Effect = tuliprock.Safe
+			k.Effect = balance.Safe
 		case "idempotency_key":
-			k.Effect = tuliprock.Keyed
+			k.Effect = balance.Keyed
 		case "non_idempotent":
-			k.Effect = tuliprock.Unsafe
+			k.Effect = balance.Unsafe
 		default:
 			return s, fmt.Errorf("Config: class %q has unknown Semantics %q", l.Name, l.Semantics)
 		}
 		switch l.Group {
 		case "all", "":
-			k.Group = tuliprock.GroupAll
+			k.Group = balance.GroupAll
 		case "zone":
-			k.Group = tuliprock.GroupZone
+			k.Group = balance.GroupZone
 		case "cell":
-			k.Group = tuliprock.GroupCell
+			k.Group = balance.GroupCell
 		default:
 			return s, fmt.Errorf("Config: class %q has unknown Group %q", l.Name, l.Group)
 		}
 		s.Classes = append(s.Classes, k)
 	}
 	for _, a := range c.Accounts {
-		s.Tenants = append(s.Tenants, tuliprock.Tenant{Name: a.Name, Quota: a.QuotaPerS})
+		s.Tenants = append(s.Tenants, balance.Tenant{Name: a.Name, Quota: a.QuotaPerS})
 	}
 	return s, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,15 +11,15 @@
 	"strconv"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // Handler receives the events of the batches, in order. Its methods may return an error to stop reading.
 type Handler interface {
-	Start(instance int, s tuliprock.Settings) error
+	Start(instance int, s balance.Settings) error
 	Stop(instance int) error
 	// Instance gives the receiver of one event.
-	Instance(instance int) (tuliprock.Events, error)
+	Instance(instance int) (balance.Events, error)
 	// EndBatch is called when a batch has been read whole and its reply is due.
 	EndBatch() error
 }
@@ -40,8 +40,8 @@
 	now      time.Duration
 	instance int
 	started  bool // an instance was named in this batch
-	lists    [maxLists]*[]tuliprock.Endpoint
-	filling  *[]tuliprock.Endpoint
+	lists    [maxLists]*[]balance.Endpoint
+	filling  *[]balance.Endpoint
 	missing  int // entries still to come for the list being filled
 
 }
@@ -170,12 +170,12 @@
 	return r.event(string(name), to)
 }
 
-func (r *Reader) event(name string, to tuliprock.Events) error {
+func (r *Reader) event(name string, to balance.Events) error {
 	var p fields
 	p.r = r
 	switch name {
 	case "REGISTRY":
-		l := tuliprock.List{}
+		l := balance.List{}
 		mode := p.text("Mode", true)
 		p.integer("Gen", false)
 		switch mode {
@@ -197,7 +197,7 @@
 			to.EndpointList(r.now, l)
 		}
 	case "CALL":
-		q := tuliprock.Request{ID: p.id("Rid"), Class: p.word("Band", true), Tenant: p.word("Team", false),
+		q := balance.Request{ID: p.id("Rid"), Class: p.word("Band", true), Tenant: p.word("Team", false),
 			Deadline: p.micros("ValidUntilUs", true)}
 		flags := p.integer("Attrs", false)
 		q.Repeat = flags&2 != 0
@@ -210,7 +210,7 @@
 			to.StreamStarted(r.now, id, n)
 		}
 	case "ATTEMPT_END":
-		o := tuliprock.Outcome{ID: p.id("Rid"), Attempt: p.integer("N", true), Endpoint: p.word("Endpoint", true),
+		o := balance.Outcome{ID: p.id("Rid"), Attempt: p.integer("N", true), Endpoint: p.word("Endpoint", true),
 			Result: p.result(), Took: p.micros("SpentUs", true), Final: p.integer("DoneFlag", false) != 0}
 		if p.err == nil {
 			to.Outcome(r.now, o)
@@ -225,7 +225,7 @@
 			to.Timer(r.now)
 		}
 	case "CHECKED":
-		o := tuliprock.ProbeResult{Endpoint: p.word("Endpoint", true), Result: p.result(), Load: p.load()}
+		o := balance.ProbeResult{Endpoint: p.word("Endpoint", true), Result: p.result(), Load: p.load()}
 		if p.err == nil {
 			to.Probed(r.now, o)
 		}
@@ -245,7 +245,7 @@
 	if ref < 0 || ref >= maxLists || n < 0 {
 		return errors.New("LEDGER with a number out of range")
 	}
-	list := []tuliprock.Endpoint{}
+	list := []balance.Endpoint{}
 	r.lists[ref], r.filling, r.missing = &list, &list, n
 	return nil
 }
@@ -255,15 +255,15 @@
 		return errors.New("ENDPOINT without a LEDGER that counts it")
 	}
 	p := fields{r: r}
-	e := tuliprock.Endpoint{ID: p.word("Endpoint", true), Zone: p.word("Zone", false), Kind: p.word("Sku", false), Cell: p.integer("Pack", false),
+	e := balance.Endpoint{ID: p.word("Endpoint", true), Zone: p.word("Zone", false), Kind: p.word("Sku", false), Cell: p.integer("Pack", false),
 		Started: p.micros("LastStartUs", false)}
 	switch phase := p.text("Phase", true); phase {
 	case "ready":
-		e.State = tuliprock.Ready
+		e.State = balance.Ready
 	case "draining":
-		e.State = tuliprock.Draining
+		e.State = balance.Draining
 	case "gone":
-		e.State = tuliprock.Gone
+		e.State = balance.Gone
 	default:
 		p.fail("ENDPOINT has an unknown Phase %q", phase)
 	}
@@ -398,33 +398,33 @@
 	return s
 }
 
-func (p *fields) result() tuliprock.Result {
+func (p *fields) result() balance.Result {
 	switch v := p.bytes("StateCode", true); string(v) {
 	case "Ok":
-		return tuliprock.OK
+		return balance.OK
 	case "Failed":
-		return tuliprock.Errored
+		return balance.Errored
 	case "QueueFull":
-		return tuliprock.Full
+		return balance.Full
 	case "TimedOut":
-		return tuliprock.TimedOut
+		return balance.TimedOut
 	case "ConnectError":
-		return tuliprock.ConnectFailed
+		return balance.ConnectFailed
 	case "ResetByPeer":
-		return tuliprock.Reset
+		return balance.Reset
 	case "Canceled":
-		return tuliprock.Canceled
+		return balance.Canceled
 	case "Ignored":
-		return tuliprock.NotSent
+		return balance.NotSent
 	default:
 		p.fail("unknown StateCode %q", v)
-		return tuliprock.Errored
+		return balance.Errored
 	}
 }
 
 // load reads a load report. The requests that an endpoint holds are its "active" figure, the waiting ones
 // included.
-func (p *fields) load() (l tuliprock.Load) {
+func (p *fields) load() (l balance.Load) {
 	rest := p.bytes("Load", false)
 	for len(rest) > 0 {
 		var pair []byte
@@ -433,7 +433,7 @@
 		x, err := strconv.ParseFloat(string(value), 64)
 		if !ok || err != nil {
 			p.fail("Load has a part %.40q that is not name:value", pair)
-			return tuliprock.Load{}
+			return balance.Load{}
 		}
 		if string(name) == "active" {
 			l.Known, l.Held = true, x
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
-	"tuliprock"
+	"tuliprock/balance"
 )
 
 // recorder keeps the events it is given, as text.
 type recorder struct {
 	got     []string
-	started map[int]tuliprock.Settings
+	started map[int]balance.Settings
 	ends    int
 }
 
@@ -23,27 +23,27 @@
 	r.got = append(r.got, fmt.Sprintf(format, args...))
 }
 
-func (r *recorder) Start(i int, s tuliprock.Settings) error { r.started[i] = s; return nil }
-func (r *recorder) Stop(i int) error                        { delete(r.started, i); return nil }
-func (r *recorder) EndBatch() error                         { r.ends++; return nil }
-func (r *recorder) Instance(i int) (tuliprock.Events, error) {
+func (r *recorder) Start(i int, s balance.Settings) error { r.started[i] = s; return nil }
+func (r *recorder) Stop(i int) error                      { delete(r.started, i); return nil }
+func (r *recorder) EndBatch() error                       { r.ends++; return nil }
+func (r *recorder) Instance(i int) (balance.Events, error) {
 	if _, ok := r.started[i]; !ok {
 		return nil, errors.New("never started")
 	}
 	return r, nil
 }
-func (r *recorder) EndpointList(now time.Duration, l tuliprock.List) { r.add("%v list %+v", now, l) }
-func (r *recorder) Request(now time.Duration, q tuliprock.Request)   { r.add("%v request %+v", now, q) }
+func (r *recorder) EndpointList(now time.Duration, l balance.List) { r.add("%v list %+v", now, l) }
+func (r *recorder) Request(now time.Duration, q balance.Request)   { r.add("%v request %+v", now, q) }
 func (r *recorder) StreamStarted(now time.Duration, id string, n int) {
 	r.add("%v stream %s %d", now, id, n)
 }
-func (r *recorder) Outcome(now time.Duration, o tuliprock.Outcome)    { r.add("%v outcome %+v", now, o) }
-func (r *recorder) ClientLeft(now time.Duration, id string)           { r.add("%v left %s", now, id) }
-func (r *recorder) Timer(now time.Duration)                           { r.add("%v timer", now) }
-func (r *recorder) Probed(now time.Duration, p tuliprock.ProbeResult) { r.add("%v probed %+v", now, p) }
+func (r *recorder) Outcome(now time.Duration, o balance.Outcome)    { r.add("%v outcome %+v", now, o) }
+func (r *recorder) ClientLeft(now time.Duration, id string)         { r.add("%v left %s", now, id) }
+func (r *recorder) Timer(now time.Duration)                         { r.add("%v timer", now) }
+func (r *recorder) Probed(now time.Duration, p balance.ProbeResult) { r.add("%v probed %+v", now, p) }
 
 func read(text string) (*recorder, error) {
-	r := &recorder{started: map[int]tuliprock.Settings{}}
+	r := &recorder{started: map[int]balance.Settings{}}
 	return r, NewReader(strings.NewReader(text)).Run(r)
 }
 
@@ -92,9 +92,9 @@
 		t.Fatal(err)
 	}
 	us := time.Microsecond
-	want := tuliprock.Settings{Seed: 1<<64 - 1, Balancers: 2, Index: 1, Tier: 1, TiersBelow: 1,
-		Classes: []tuliprock.Class{{Name: "n", Effect: tuliprock.Keyed, Group: tuliprock.GroupCell, Window: 3 * us, Aim: us}},
-		Tenants: []tuliprock.Tenant{{Name: "t", Quota: 6.5}}, MustSubscribe: true, AskWithin: 9 * us, MaxAttempts: 4,
+	want := balance.Settings{Seed: 1<<64 - 1, Balancers: 2, Index: 1, Tier: 1, TiersBelow: 1,
+		Classes: []balance.Class{{Name: "n", Effect: balance.Keyed, Group: balance.GroupCell, Window: 3 * us, Aim: us}},
+		Tenants: []balance.Tenant{{Name: "t", Quota: 6.5}}, MustSubscribe: true, AskWithin: 9 * us, MaxAttempts: 4,
 		MayCancel: true, MayProbe: true, MaxRetryAfter: 7 * us,
 		Resolution: 5 * time.Millisecond, ColdFrom: 0.3, ColdFor: 10 * us}
 	if got := r.started[0]; !reflect.DeepEqual(got, want) {
