--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"tuliprock/internal/config"
 	"tuliprock/internal/sidecar"
 )
 
@@ -32,7 +33,7 @@
 func run() error {
 	hup := make(chan os.Signal, 1) // before all else: uncaught, the signal ends the program
 	signal.Notify(hup, syscall.SIGHUP)
-	c, err := sidecar.LoadConfig(os.Getenv)
+	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -54,7 +55,7 @@
 // reload reads the configuration again after each signal, for as long as the program runs. A bad one changes nothing.
 func reload(s *sidecar.Sidecar, hup <-chan os.Signal, log *slog.Logger) {
 	for range hup {
-		c, err := sidecar.LoadConfig(os.Getenv)
+		c, err := config.Load(os.Getenv)
 		if err != nil {
 			log.Error("the new configuration is not taken up", "err", err)
 			continue
--- a/internal/sidecar/config.go
+++ b/internal/config/config.go
@@ -1,15 +1,14 @@
-// Package sidecar puts the decision module on real sockets: callers on one side, endpoints and discovery on
-// the other. It carries out what the module decides and decides nothing itself.
-package sidecar
+// Package config reads and checks what a sidecar is told at its start.
+package config
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 
+	"tuliprock/internal/discovery"
 	"tuliprock/internal/wire"
 )
 
@@ -34,13 +33,13 @@
 	Listen    string
 	Discovery string
 	Limits    Limits
-	Known     Members
+	Known     discovery.Members
 	Settings  wire.Settings
 }
 
-// LoadConfig reads the file that ROUTER_CONFIG names. Variables fill what it lacks. An error names the field at
+// Load reads the file that ROUTER_CONFIG names. Variables fill what it lacks. An error names the field at
 // fault.
-func LoadConfig(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("ROUTER_CONFIG: not set")
@@ -49,10 +48,11 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	return parseConfig(text, getenv)
+	return Parse(text, getenv)
 }
 
-func parseConfig(text []byte, getenv func(string) string) (Config, error) {
+// Parse is Load on a text already read.
+func Parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        Limits
@@ -69,10 +69,10 @@
 	}
 	c := Config{Name: fill(file.Name, "ROUTER_NAME"), Listen: fill(file.Listen, "ROUTER_LISTEN"),
 		Discovery: fill(file.Discovery, "ROUTER_DISCOVERY"), Limits: file.Limits}
-	if err := checkAddress("listen", c.Listen); err != nil {
+	if err := discovery.CheckAddress("listen", c.Listen); err != nil {
 		return c, err
 	}
-	if err := checkAddress("discovery", c.Discovery); err != nil {
+	if err := discovery.CheckAddress("discovery", c.Discovery); err != nil {
 		return c, err
 	}
 	if err := c.Limits.check(); err != nil {
@@ -89,7 +89,7 @@
 		return c, fmt.Errorf("seed: %w", err)
 	}
 	if len(file.Known) > 0 {
-		if c.Known, err = parseMembers(file.Known); err != nil {
+		if c.Known, err = discovery.ParseMembers(file.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -117,18 +117,3 @@
 	}
 	return nil
 }
-
-// checkAddress tells whether an address is host:port with a number for a port.
-func checkAddress(field, addr string) error {
-	if addr == "" {
-		return fmt.Errorf("%s: missing", field)
-	}
-	_, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("%s: %w", field, err)
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return fmt.Errorf("%s: port %q is not a number up to 65535", field, port)
-	}
-	return nil
-}
--- a/internal/sidecar/config_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package config
 
 import (
 	"maps"
@@ -16,7 +16,7 @@
 func noEnv(string) string { return "" }
 
 func TestAConfigurationIsRead(t *testing.T) {
-	c, err := parseConfig([]byte(goodConfig), noEnv)
+	c, err := Parse([]byte(goodConfig), noEnv)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	env := map[string]string{"ROUTER_CONFIG": path, "ROUTER_NAME": "n1", "ROUTER_LISTEN": "127.0.0.1:2", "ROUTER_DISCOVERY": "127.0.0.1:3"}
-	c, err := LoadConfig(func(k string) string { return env[k] })
+	c, err := Load(func(k string) string { return env[k] })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 	for variable, want := range map[string]string{"ROUTER_CONFIG": "ROUTER_CONFIG", "ROUTER_DISCOVERY": "discovery"} {
 		less := maps.Clone(env)
 		delete(less, variable)
-		if _, err := LoadConfig(func(k string) string { return less[k] }); err == nil || !strings.HasPrefix(err.Error(), want) {
+		if _, err := Load(func(k string) string { return less[k] }); err == nil || !strings.HasPrefix(err.Error(), want) {
 			t.Errorf("without %s: %v", variable, err)
 		}
 	}
@@ -64,7 +64,7 @@
 		if text == goodConfig {
 			t.Fatalf("%s: nothing replaced", field)
 		}
-		_, err := parseConfig([]byte(text), noEnv)
+		_, err := Parse([]byte(text), noEnv)
 		if err == nil || !strings.HasPrefix(err.Error(), field+":") || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", field, err)
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/core/loop.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package core owns a decision module: one goroutine feeds it what happens and carries out what it decides.
+package core
 
 import (
 	"context"
@@ -7,6 +8,8 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/upstream"
 )
 
 // clock gives instants: a monotonic reading since the start, well above zero, so that 0 means long ago and starts
@@ -26,18 +29,29 @@
 	return max(clockStart+time.Duration(unixMs-c.started.UnixMilli())*time.Millisecond, 0)
 }
 
-// reply is the final answer to a caller.
-type reply struct {
-	status     int
-	retryAfter time.Duration
-	answer     answer
+// Verdict is how a request ended.
+type Verdict int
+
+// The verdicts.
+const (
+	Served    Verdict = iota
+	Refused           // nothing of it has run, or running it again does no harm
+	Failed            // nothing is promised of its effect
+	Duplicate         // its id is in use by a request that is still open
+)
+
+// Reply is the final answer to a caller.
+type Reply struct {
+	Verdict    Verdict
+	RetryAfter time.Duration   // 0: no advice
+	Answer     upstream.Answer // if served
 }
 
-// call is a request that was taken.
-type call struct {
+// Call is a request that was taken.
+type Call struct {
 	balance.Request
-	message *message
-	replies chan reply // takes the one final answer without blocking
+	Message *upstream.Message
+	Replies chan Reply // takes the one final answer without blocking; it has room for one
 
 	// The loop's own:
 	over    bool // answered, or the caller has left
@@ -45,39 +59,56 @@
 	out     int // attempts out
 }
 
-// loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
-type loop struct {
+// Loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
+type Loop struct {
 	clock    clock
 	balancer balance.Events
 	events   chan func(now time.Duration)
 	done     chan struct{}
-	upstream *upstream
+	upstream *upstream.Client
 	ask      func() // asks discovery for a watch
 	log      *slog.Logger
 
-	calls   map[string]*call
+	calls   map[string]*Call
 	members map[string]bool
 	timers  []time.Duration           // sorted
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
-func newLoop(s balance.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
-	l := &loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
-		upstream: u, ask: ask, log: log, calls: map[string]*call{}, members: map[string]bool{}}
+// New makes a Loop. ask asks discovery for a watch and must not block.
+func New(s balance.Settings, u *upstream.Client, ask func(), log *slog.Logger) *Loop {
+	l := &Loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
+		upstream: u, ask: ask, log: log, calls: map[string]*Call{}, members: map[string]bool{}}
 	l.balancer = balance.New(l.clock.now(), s, host{l})
 	return l
 }
 
-// post hands an event to the loop. It must not be called from within the loop.
-func (l *loop) post(event func(now time.Duration)) {
+// Now is the Loop's clock. It never runs backwards.
+func (l *Loop) Now() time.Duration { return l.clock.now() }
+
+// Done is closed when the Loop has ended.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+// DiscoveryFailed reports that a watch broke, where discovery is asked.
+func (l *Loop) DiscoveryFailed(now time.Duration) {
+	l.balancer.EndpointList(now, balance.List{Failed: true})
+}
+
+// Held tells how much the Loop holds of each sort. Like Start, Leave and List it is called from an event.
+func (l *Loop) Held() (calls, members, events, timers int) {
+	return len(l.calls), len(l.members), len(l.later), len(l.timers)
+}
+
+// Post hands an event to the loop. It must not be called from within the loop.
+func (l *Loop) Post(event func(now time.Duration)) {
 	select {
 	case l.events <- event:
 	case <-l.done:
 	}
 }
 
-// run handles events until ctx ends.
-func (l *loop) run(ctx context.Context) {
+// Run handles events until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
@@ -96,7 +127,7 @@
 	}
 }
 
-func (l *loop) handle(event func(now time.Duration)) {
+func (l *Loop) handle(event func(now time.Duration)) {
 	event(l.clock.now())
 	for len(l.later) > 0 {
 		next := l.later[0]
@@ -107,7 +138,7 @@
 
 // ring reports the timers that are due. One asked for meanwhile waits for the next turn, so that timers can't keep
 // other events out.
-func (l *loop) ring(now time.Duration) {
+func (l *Loop) ring(now time.Duration) {
 	due, _ := slices.BinarySearch(l.timers, now+1)
 	l.timers = slices.Delete(l.timers, 0, due)
 	for range due {
@@ -115,18 +146,18 @@
 	}
 }
 
-// start takes a request. One whose id is still in use is turned away, so that it can't disturb the first.
-func (l *loop) start(now time.Duration, c *call) {
+// Start takes a request. One whose id is still in use is turned away, so that it can't disturb the first.
+func (l *Loop) Start(now time.Duration, c *Call) {
 	if l.calls[c.ID] != nil {
-		c.replies <- reply{status: statusDuplicate}
+		c.Replies <- Reply{Verdict: Duplicate}
 		return
 	}
 	l.calls[c.ID] = c
 	l.balancer.Request(now, c.Request)
 }
 
-// leave reports that the caller of a request has gone.
-func (l *loop) leave(now time.Duration, c *call) {
+// Leave reports that the caller of a request has gone.
+func (l *Loop) Leave(now time.Duration, c *Call) {
 	if l.calls[c.ID] == c && !c.over {
 		c.over = true
 		l.balancer.ClientLeft(now, c.ID)
@@ -135,36 +166,36 @@
 }
 
 // finish gives the final answer, once.
-func (l *loop) finish(c *call, r reply) {
+func (l *Loop) finish(c *Call, r Reply) {
 	if c == nil || c.over {
 		return
 	}
 	c.over = true
-	c.replies <- r
+	c.Replies <- r
 	l.forget(c)
 }
 
 // forget drops a call of which nothing is to come any more.
-func (l *loop) forget(c *call) {
+func (l *Loop) forget(c *Call) {
 	if c.over && c.out == 0 && l.calls[c.ID] == c {
 		delete(l.calls, c.ID)
 	}
 }
 
 // ended reports the end of an attempt. A whole answer is passed on at once; one that comes too late is dropped.
-func (l *loop) ended(now time.Duration, c *call, o balance.Outcome, sent time.Duration, a answer) {
+func (l *Loop) ended(now time.Duration, c *Call, o balance.Outcome, sent time.Duration, a upstream.Answer) {
 	c.out--
 	o.Took, o.Final = now-sent, c.over
 	if o.Result == balance.OK && !c.over {
 		o.Final = true
-		l.finish(c, reply{status: statusServed, answer: a})
+		l.finish(c, Reply{Verdict: Served, Answer: a})
 	}
 	l.balancer.Outcome(now, o)
 	l.forget(c)
 }
 
-// list reports what discovery says.
-func (l *loop) list(now time.Duration, m Members) {
+// List reports what discovery says.
+func (l *Loop) List(now time.Duration, m discovery.Members) {
 	out := balance.List{Complete: m.Full}
 	listed := map[string]bool{}
 	for _, s := range m.Servers {
@@ -176,7 +207,7 @@
 			continue
 		}
 		l.members[s.ID] = true
-		l.upstream.setMember(s.ID, s.Addr, s.State == balance.Ready)
+		l.upstream.SetMember(s.ID, s.Addr, s.State == balance.Ready)
 	}
 	if m.Full {
 		for id := range l.members {
@@ -188,14 +219,14 @@
 	l.balancer.EndpointList(now, out)
 }
 
-func (l *loop) remove(id string) {
+func (l *Loop) remove(id string) {
 	delete(l.members, id)
-	l.upstream.removeMember(id)
+	l.upstream.RemoveMember(id)
 }
 
 // host carries out what the Balancer asks for. It runs on the loop's goroutine, blocks on nothing and does not call
 // back.
-type host struct{ *loop }
+type host struct{ *Loop }
 
 var _ balance.Host = host{}
 
@@ -212,14 +243,14 @@
 	c.out++
 	if c.over {
 		o.Result = balance.NotSent
-		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, answer{}) })
+		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, upstream.Answer{}) })
 		return
 	}
 	go func() {
-		var a answer
-		o.Result, o.Reused, a = h.upstream.attempt(ctx, endpoint, c.message)
+		var a upstream.Answer
+		o.Result, o.Reused, a = h.upstream.Attempt(ctx, endpoint, c.Message)
 		cancel()
-		h.post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
+		h.Post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
 	}()
 }
 
@@ -232,11 +263,11 @@
 
 // Refuse implements balance.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
-	h.finish(h.calls[id], reply{status: statusRefused, retryAfter: retryAfter})
+	h.finish(h.calls[id], Reply{Verdict: Refused, RetryAfter: retryAfter})
 }
 
 // Fail implements balance.Host.
-func (h host) Fail(id string) { h.finish(h.calls[id], reply{status: statusFailed}) }
+func (h host) Fail(id string) { h.finish(h.calls[id], Reply{Verdict: Failed}) }
 
 // Probe implements balance.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
 func (h host) Probe(endpoint string) {
@@ -246,7 +277,7 @@
 }
 
 // Idle implements balance.Host.
-func (h host) Idle(endpoint string) bool { return h.upstream.idle(endpoint) }
+func (h host) Idle(endpoint string) bool { return h.upstream.Idle(endpoint) }
 
 // Subscribe implements balance.Host.
 func (h host) Subscribe() { h.ask() }
--- /dev/null
+++ b/internal/core/loop_test.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"tuliprock/balance"
+)
+
+// The same start must always be the same instant, or an old one would pass for a restart.
+func TestStartsOfEndpointsBecomeInstants(t *testing.T) {
+	c := clock{time.Now()}
+	at := c.started.UnixMilli()
+	if c.instant(0) != 0 {
+		t.Errorf("long ago: %v", c.instant(0))
+	}
+	if got := c.instant(at - 2000); got != clockStart-2*time.Second {
+		t.Errorf("two seconds before the start: %v", got)
+	}
+	if got := c.instant(1); got != 0 {
+		t.Errorf("years ago: %v", got)
+	}
+	if now := c.now(); now < clockStart {
+		t.Errorf("now: %v", now)
+	}
+}
+
+// rearming asks for a timer that is due at once, each time one rings.
+type rearming struct {
+	balance.Events
+	host  balance.Host
+	rings int
+}
+
+func (r *rearming) Timer(now time.Duration) {
+	r.rings++
+	r.host.Timer(now)
+}
+
+// A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
+func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
+	l := New(balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	r := &rearming{host: host{l}}
+	l.balancer = r
+	r.host.Timer(clockStart)
+	r.host.Timer(clockStart + 1)
+	l.handle(l.ring)
+	if r.rings != 2 || len(l.timers) != 2 {
+		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package discovery follows the list of endpoints. It passes on what it hears and decides nothing.
+package discovery
 
 import (
 	"bufio"
@@ -10,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,8 +51,8 @@
 
 var stateNames = map[string]balance.State{"Ready": balance.Ready, "Terminating": balance.Draining, "Gone": balance.Gone}
 
-// parseMembers reads and checks a message from discovery. One bad entry spoils the message.
-func parseMembers(text []byte) (Members, error) {
+// ParseMembers reads and checks a message from discovery. One bad entry spoils the message.
+func ParseMembers(text []byte) (Members, error) {
 	var m Members
 	if err := json.Unmarshal(text, &m); err != nil {
 		return Members{}, err
@@ -73,22 +75,37 @@
 		if s.State == balance.Gone {
 			continue
 		}
-		if err := checkAddress("addr", s.Addr); err != nil {
+		if err := CheckAddress("addr", s.Addr); err != nil {
 			return Members{}, err
 		}
 	}
 	return m, nil
 }
 
-// discovery follows the list of endpoints.
-type discovery struct {
+// CheckAddress tells whether an address is host:port with a number for a port. The error names the field.
+func CheckAddress(field, addr string) error {
+	if addr == "" {
+		return fmt.Errorf("%s: missing", field)
+	}
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%s: port %q is not a number up to 65535", field, port)
+	}
+	return nil
+}
+
+// Client follows the list of endpoints.
+type Client struct {
 	addr    string
 	onAsk   bool          // only a Subscribe starts a watch, and its end is reported
 	asked   chan struct{} // a Subscribe waits here
 	moves   chan string   // the latest address to move to waits here
 	version *int64        // of the latest message; nil: the whole list is wanted
-	deliver func(Members)
-	failed  func()
+	Deliver func(Members) // takes each message, in order
+	Failed  func()        // takes the end of a watch, where discovery is asked
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration // after which a watch is given up
@@ -96,8 +113,10 @@
 	spokeAt time.Time
 }
 
-func newDiscovery(addr string, version *int64, onAsk bool, log *slog.Logger) *discovery {
-	d := &discovery{addr: addr, version: version, onAsk: onAsk, log: log, silence: watchSilence, patient: askPushed,
+// New makes a Client of the discovery at addr. version is that of the list already known; nil: the whole list is wanted.
+// Where onAsk is true discovery tells nothing unless asked. Deliver and Failed must be set before Run.
+func New(addr string, version *int64, onAsk bool, log *slog.Logger) *Client {
+	d := &Client{addr: addr, version: version, onAsk: onAsk, log: log, silence: watchSilence, patient: askPushed,
 		asked: make(chan struct{}, 1), moves: make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	if onAsk {
@@ -106,9 +125,9 @@
 	return d
 }
 
-// move leaves the present address for another. It does not block; a move that waits gives way to this one. It must
+// Move leaves the present address for another. It does not block; a move that waits gives way to this one. It must
 // not be called by two at once.
-func (d *discovery) move(addr string) {
+func (d *Client) Move(addr string) {
 	select {
 	case <-d.moves:
 	default:
@@ -116,17 +135,17 @@
 	d.moves <- addr
 }
 
-// subscribe asks for a watch. It does not block.
-func (d *discovery) subscribe() {
+// Subscribe asks for a watch. It does not block.
+func (d *Client) Subscribe() {
 	select {
 	case d.asked <- struct{}{}:
 	default:
 	}
 }
 
-// run follows discovery until ctx ends. A move ends the watch at once and asks for the whole list at the new
+// Run follows discovery until ctx ends. A move ends the watch at once and asks for the whole list at the new
 // address: what was missed meanwhile can't be known there. The old list stands until it comes.
-func (d *discovery) run(ctx context.Context) {
+func (d *Client) Run(ctx context.Context) {
 	due := !d.onAsk // a watch is wanted, without a further Subscribe
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
@@ -148,7 +167,7 @@
 
 // stay keeps a watch at the present address until ctx ends, and tells whether one was wanted then. A watch that
 // breaks leaves the old list standing; the next one asks for what has changed since.
-func (d *discovery) stay(ctx context.Context, due bool) bool {
+func (d *Client) stay(ctx context.Context, due bool) bool {
 	gap := retryLeast
 	for {
 		if !due {
@@ -165,7 +184,7 @@
 		d.complain(err)
 		if d.onAsk {
 			due = false
-			d.failed()
+			d.Failed()
 			continue
 		}
 		if heard {
@@ -186,7 +205,7 @@
 }
 
 // complain logs, but not more often than of use.
-func (d *discovery) complain(err error) {
+func (d *Client) complain(err error) {
 	if time.Since(d.spokeAt) > complainGap {
 		d.spokeAt = time.Now()
 		d.log.Warn("discovery: watch ended", "err", err)
@@ -194,7 +213,7 @@
 }
 
 // follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything.
-func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
+func (d *Client) follow(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(d.patient, cancel)
@@ -232,7 +251,7 @@
 }
 
 // list gets the whole list once.
-func (d *discovery) list(ctx context.Context) error {
+func (d *Client) list(ctx context.Context) error {
 	body, err := d.get(ctx, "")
 	if err != nil {
 		return err
@@ -245,7 +264,7 @@
 	return d.take(text)
 }
 
-func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
+func (d *Client) get(ctx context.Context, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+membersPath+query, nil)
 	if err != nil {
 		return nil, err
@@ -263,8 +282,8 @@
 
 // take passes on one message. After one that can't be read, or changes to a list older than ours, something may
 // have been missed: the whole list is asked for anew.
-func (d *discovery) take(text []byte) error {
-	m, err := parseMembers(text)
+func (d *Client) take(text []byte) error {
+	m, err := ParseMembers(text)
 	if err == nil && !m.Full && (d.version == nil || *m.Version < *d.version) {
 		err = fmt.Errorf("version: %d does not follow", *m.Version)
 	}
@@ -273,6 +292,6 @@
 		return fmt.Errorf("malformed message: %w", err)
 	}
 	d.version = m.Version
-	d.deliver(m)
+	d.Deliver(m)
 	return nil
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,67 +1,36 @@
-package sidecar
+package discovery
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/testpeer"
 )
 
-func members(version int, full bool, entries ...string) string {
-	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
-}
-
-func member(id, addr, state string) string {
-	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","kind":"k","cell":3,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, state)
-}
-
-// script answers each call to discovery with its next step and reports the call.
-type script struct {
-	steps []string // lines; "SILENT" at the end holds the connection open
-	calls chan string
-}
-
-func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.calls <- r.URL.RawQuery
-	if len(s.steps) == 0 {
-		<-r.Context().Done()
-		return
-	}
-	step := s.steps[0]
-	s.steps = s.steps[1:]
-	text, silent := strings.CutSuffix(step, "SILENT")
-	io.WriteString(w, text)
-	w.(http.Flusher).Flush()
-	if silent {
-		<-r.Context().Done()
-	}
-}
-
 type followed struct {
-	*discovery
+	*Client
 	got      chan Members
 	failures chan bool
 	calls    chan string
 }
 
-func follow(t *testing.T, version int64, change func(*discovery), steps ...string) *followed {
-	s := &script{steps: steps, calls: make(chan string, 100)}
+func follow(t *testing.T, version int64, change func(*Client), steps ...string) *followed {
+	s := &testpeer.Discovery{Steps: steps, Calls: make(chan string, 100)}
 	addr := serveDiscovery(t, s)
-	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.calls}
-	f.discovery = newDiscovery(addr, &version, false, slog.New(slog.DiscardHandler))
-	f.deliver, f.failed = func(m Members) { f.got <- m }, func() { f.failures <- true }
-	f.silence, f.patient = patience, patience
+	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.Calls}
+	f.Client = New(addr, &version, false, slog.New(slog.DiscardHandler))
+	f.Deliver, f.Failed = func(m Members) { f.got <- m }, func() { f.failures <- true }
+	f.silence, f.patient = testpeer.Patience, testpeer.Patience
 	if change != nil {
-		change(f.discovery)
+		change(f.Client)
 	}
-	ctx := ctxFor(t, 2*patience)
-	go f.run(ctx)
+	ctx := t.Context()
+	go f.Run(ctx)
 	return f
 }
 
@@ -73,7 +42,7 @@
 			if got != want {
 				t.Errorf("asked %q, want %q", got, want)
 			}
-		case <-time.After(patience):
+		case <-time.After(testpeer.Patience):
 			t.Fatalf("never asked %q", want)
 		}
 	}
@@ -87,7 +56,7 @@
 			if *m.Version != want {
 				t.Errorf("version %d, want %d", *m.Version, want)
 			}
-		case <-time.After(patience):
+		case <-time.After(testpeer.Patience):
 			t.Fatalf("version %d never came", want)
 		}
 	}
@@ -95,15 +64,15 @@
 
 func TestALostWatchIsResumed(t *testing.T) {
 	f := follow(t, 41, nil,
-		"\n"+members(43, false, member("a", "127.0.0.1:1", "Terminating"))+"\n\n"+members(44, false)+"\n",
-		members(50, true, member("b", "127.0.0.1:2", "Ready"))+"\nSILENT")
+		"\n"+testpeer.Members(43, false, testpeer.Member("a", "127.0.0.1:1", "Terminating"))+"\n\n"+testpeer.Members(44, false)+"\n",
+		testpeer.Members(50, true, testpeer.Member("b", "127.0.0.1:2", "Ready"))+"\nSILENT")
 	f.expectVersions(t, 43, 44, 50)
 	f.expectCalls(t, "watch=1&after=41", "watch=1&after=44")
 }
 
 func TestASilentWatchIsGivenUp(t *testing.T) {
-	f := follow(t, 7, func(d *discovery) { d.silence = 200 * time.Millisecond },
-		"\nSILENT", members(8, false)+"\nSILENT")
+	f := follow(t, 7, func(d *Client) { d.silence = 200 * time.Millisecond },
+		"\nSILENT", testpeer.Members(8, false)+"\nSILENT")
 	f.expectCalls(t, "watch=1&after=7", "watch=1&after=7")
 	f.expectVersions(t, 8)
 }
@@ -114,14 +83,14 @@
 		"no JSON":          "{nonsense",
 		"no entries":       `{"version":42,"full":true}`,
 		"no version":       `{"full":false,"servers":[]}`,
-		"an unknown state": members(42, false, member("a", "127.0.0.1:1", "Asleep")),
-		"no address":       members(42, false, member("a", "", "Ready")),
-		"a bad address":    members(42, false, member("a", "127.0.0.1:http", "Ready")),
-		"no id":            members(42, false, member("", "127.0.0.1:1", "Ready")),
-		"an older version": members(40, false),
+		"an unknown state": testpeer.Members(42, false, testpeer.Member("a", "127.0.0.1:1", "Asleep")),
+		"no address":       testpeer.Members(42, false, testpeer.Member("a", "", "Ready")),
+		"a bad address":    testpeer.Members(42, false, testpeer.Member("a", "127.0.0.1:http", "Ready")),
+		"no id":            testpeer.Members(42, false, testpeer.Member("", "127.0.0.1:1", "Ready")),
+		"an older version": testpeer.Members(40, false),
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := follow(t, 41, nil, line+"\n", members(60, true), members(61, false)+"\nSILENT")
+			f := follow(t, 41, nil, line+"\n", testpeer.Members(60, true), testpeer.Members(61, false)+"\nSILENT")
 			f.expectVersions(t, 60, 61)
 			f.expectCalls(t, "watch=1&after=41", "", "watch=1&after=60")
 		})
@@ -129,17 +98,17 @@
 }
 
 func TestWhereDiscoveryIsAskedItsEndIsReported(t *testing.T) {
-	f := follow(t, 41, func(d *discovery) { d.onAsk = true }, members(42, false)+"\n", members(43, false)+"\nSILENT")
-	f.subscribe()
+	f := follow(t, 41, func(d *Client) { d.onAsk = true }, testpeer.Members(42, false)+"\n", testpeer.Members(43, false)+"\nSILENT")
+	f.Subscribe()
 	f.expectVersions(t, 42)
 	<-f.failures
-	f.subscribe()
+	f.Subscribe()
 	f.expectVersions(t, 43)
 	f.expectCalls(t, "watch=1&after=41", "watch=1&after=42")
 }
 
 func TestEntriesAreRead(t *testing.T) {
-	m, err := parseMembers([]byte(members(3, true, member("a", "127.0.0.1:1", "Ready"), member("b", "", "Gone"))))
+	m, err := ParseMembers([]byte(testpeer.Members(3, true, testpeer.Member("a", "127.0.0.1:1", "Ready"), testpeer.Member("b", "", "Gone"))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -152,8 +121,8 @@
 
 // another is a further discovery to move to.
 func another(t *testing.T, steps ...string) (addr string, calls chan string) {
-	s := &script{steps: steps, calls: make(chan string, 100)}
-	return serveDiscovery(t, s), s.calls
+	s := &testpeer.Discovery{Steps: steps, Calls: make(chan string, 100)}
+	return serveDiscovery(t, s), s.Calls
 }
 
 func serveDiscovery(t *testing.T, h http.Handler) (addr string) {
@@ -169,10 +138,10 @@
 func TestAMoveAsksForTheWholeListElsewhere(t *testing.T) {
 	for name, onAsk := range map[string]bool{"pushed": false, "asked": true} {
 		t.Run(name, func(t *testing.T) {
-			f := follow(t, 41, func(d *discovery) { d.onAsk = onAsk; d.subscribe() }, members(42, false)+"\nSILENT")
+			f := follow(t, 41, func(d *Client) { d.onAsk = onAsk; d.Subscribe() }, testpeer.Members(42, false)+"\nSILENT")
 			f.expectVersions(t, 42)
-			addr, calls := another(t, members(7, true), members(8, false)+"\nSILENT")
-			f.move(addr)
+			addr, calls := another(t, testpeer.Members(7, true), testpeer.Members(8, false)+"\nSILENT")
+			f.Move(addr)
 			f.expectVersions(t, 7, 8)
 			f.calls = calls
 			f.expectCalls(t, "", "watch=1&after=7")
@@ -185,35 +154,35 @@
 
 // Moves may come before the last one is done, to an address that says nothing, or to the same.
 func TestTheLastOfManyMovesCounts(t *testing.T) {
-	f := follow(t, 41, nil, members(42, false)+"\nSILENT")
+	f := follow(t, 41, nil, testpeer.Members(42, false)+"\nSILENT")
 	f.expectVersions(t, 42)
 	mute, heard := another(t)
-	f.move(mute)
+	f.Move(mute)
 	<-heard
 	watched := make(chan bool, 100)
 	addr := serveDiscovery(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery == "" {
-			io.WriteString(w, members(7, true))
+			io.WriteString(w, testpeer.Members(7, true))
 			return
 		}
 		watched <- true
 		<-r.Context().Done()
 	}))
 	for range 3 {
-		f.move(mute)
-		f.move(addr)
+		f.Move(mute)
+		f.Move(addr)
 	}
 	f.expectVersions(t, 7)
 	<-watched
-	f.move(addr)
+	f.Move(addr)
 	<-watched
 }
 
 // All has to be told again within 4 s of a move, though the first call meets silence.
 func TestACallThatMeetsSilenceIsMadeAgain(t *testing.T) {
-	f := follow(t, 41, func(d *discovery) { d.patient = 200 * time.Millisecond }, "SILENT")
+	f := follow(t, 41, func(d *Client) { d.patient = 200 * time.Millisecond }, "SILENT")
 	mute, calls := another(t)
-	f.move(mute)
+	f.Move(mute)
 	<-calls
 	<-calls
 	if 2*askPushed+retryLeast > 3*time.Second {
--- a/internal/sidecar/callers.go
+++ b/internal/front/callers.go
@@ -1,4 +1,4 @@
-package sidecar
+package front
 
 import (
 	"container/list"
@@ -19,13 +19,13 @@
 	lastLooks    = 3                     // if this process did not get to run meanwhile
 )
 
-// callers keeps the callers' connections and closes those on which no request is open: the one least missed where
+// Listener keeps the callers' connections and closes those on which no request is open: the one least missed where
 // there are too many, all of them at the end.
 //
 // It guards against closing a connection on which a request has just been read. net/http's own Shutdown and
 // SetKeepAlivesEnabled do that, and a close from its ConnState hook would: there a connection counts as idle until
 // the head of a request has been read whole, and what is read during a Shutdown is dropped.
-type callers struct {
+type Listener struct {
 	net.Listener
 	most int
 
@@ -42,7 +42,7 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	all *callers
+	all *Listener
 
 	// all.mu guards these:
 	in      *list.List // where it stands, with spot; nil while a request is open
@@ -53,10 +53,11 @@
 	counted bool      // in all.open
 }
 
-func newCallers(l net.Listener, most int) *callers { return &callers{Listener: l, most: most} }
+// NewListener keeps at most most connections where it can.
+func NewListener(l net.Listener, most int) *Listener { return &Listener{Listener: l, most: most} }
 
 // Accept implements net.Listener.
-func (l *callers) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -80,8 +81,8 @@
 	}
 }
 
-// track follows a connection's state for http.Server.
-func (l *callers) track(nc net.Conn, state http.ConnState) {
+// Track follows a connection's state for http.Server.
+func (l *Listener) Track(nc net.Conn, state http.ConnState) {
 	c := nc.(*callerConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,7 +113,7 @@
 // makeRoom retires the connection least missed if there are too many: one that says nothing, then one idle for long,
 // then half a request that does not go on. Where all have a request open, the listener's limit holds new ones back.
 // l.mu is held.
-func (l *callers) makeRoom() {
+func (l *Listener) makeRoom() {
 	if l.open-l.retiring <= l.most {
 		return
 	}
@@ -223,16 +224,16 @@
 	return c.Conn.Write(b)
 }
 
-// count tells how many connections are open.
-func (l *callers) count() int {
+// Count tells how many connections are open.
+func (l *Listener) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open
 }
 
-// finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
+// Finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
 // request answered.
-func (l *callers) finish() error {
+func (l *Listener) Finish() error {
 	err := l.Listener.Close()
 	for l.retireIdle() > 0 {
 		time.Sleep(lookAround)
@@ -241,7 +242,7 @@
 }
 
 // retireIdle retires all idle connections, and new ones that stay silent, and tells how many are open.
-func (l *callers) retireIdle() int {
+func (l *Listener) retireIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, from := range []*list.List{&l.idle, &l.silent} {
--- a/internal/sidecar/callers_test.go
+++ b/internal/front/callers_test.go
@@ -1,21 +1,24 @@
-package sidecar
+package front
 
 import (
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
+
+	"tuliprock/internal/testpeer"
 )
 
 // accepted gives both ends of a caller's connection that net/http holds for idle.
-func accepted(t *testing.T) (*callers, *callerConn, net.Conn) {
+func accepted(t *testing.T) (*Listener, *callerConn, net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newCallers(listener, 100)
+	l := NewListener(listener, 100)
 	t.Cleanup(func() { l.Close() })
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -28,11 +31,11 @@
 	}
 	t.Cleanup(func() { nc.Close() })
 	c := nc.(*callerConn)
-	l.track(c, http.StateActive)
+	l.Track(c, http.StateActive)
 	if _, err := c.Write([]byte("answer")); err != nil {
 		t.Fatal(err)
 	}
-	l.track(c, http.StateIdle)
+	l.Track(c, http.StateIdle)
 	return l, c, client
 }
 
@@ -62,7 +65,7 @@
 	if err := <-read; err != io.EOF {
 		t.Errorf("the read that waited: %v", err)
 	}
-	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil { // as net/http does after its hook
+	if err := c.SetReadDeadline(time.Now().Add(testpeer.Patience)); err != nil { // as net/http does after its hook
 		t.Fatal(err)
 	}
 	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
@@ -118,7 +121,7 @@
 func TestAPipelinedRequestIsServedAfterARetirement(t *testing.T) {
 	l, c, client := accepted(t)
 	l.retireIdle()
-	l.track(c, http.StateActive)
+	l.Track(c, http.StateActive)
 	io.WriteString(client, "r")
 	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
 		t.Errorf("the read that watches for the caller's end: %d, %v", n, err)
@@ -136,7 +139,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the request comes", func() bool { return !(&conn{raw: nc}).quiet() })
+	testpeer.Until(t, "the request comes", func() (came bool) {
+		_ = nc.Control(func(fd uintptr) {
+			n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			came = n > 0
+		})
+		return came
+	})
 	l.retireIdle()
 	if n, err := c.Read(make([]byte, 7)); n == 0 || err != nil {
 		t.Errorf("%d bytes, %v", n, err)
--- a/internal/sidecar/server.go
+++ b/internal/front/server.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package front is the callers' side: their connections, requests and answers.
+package front
 
 import (
 	"errors"
@@ -13,6 +14,8 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/core"
+	"tuliprock/internal/upstream"
 )
 
 // What callers are answered. Only a refusal is 503, and nothing is 429: both promise that nothing has run.
@@ -23,6 +26,9 @@
 	statusDuplicate = http.StatusConflict
 )
 
+var statusOf = map[core.Verdict]int{core.Served: statusServed, core.Refused: statusRefused, core.Failed: statusFailed,
+	core.Duplicate: statusDuplicate}
+
 const (
 	healthPath   = "/_health"
 	maxID        = 256
@@ -34,25 +40,44 @@
 	callersIdle  = 5 * time.Second // some callers ask once and keep their connection for good
 )
 
-// server is the callers' side.
-type server struct {
-	loop  *loop
+// Server takes callers' requests, hands them to the loop and writes their answers.
+type Server struct {
+	loop  *core.Loop
 	class map[string]balance.Effect // the classes that are served
 	log   *slog.Logger
 
-	bodyTimeout time.Duration
-	ending      atomic.Bool  // answers close their connections
-	endsAt      atomic.Int64 // instant by which all must be answered; 0: none
+	BodyTimeout time.Duration // for a body, from the end of its head
+	ending      atomic.Bool   // answers close their connections
+	endsAt      atomic.Int64  // instant by which all must be answered; 0: none
+}
+
+// New makes a Server that serves the classes given.
+func New(l *core.Loop, classes []balance.Class, log *slog.Logger) *Server {
+	s := &Server{loop: l, class: map[string]balance.Effect{}, log: log, BodyTimeout: bodyTimeout}
+	for _, class := range classes {
+		s.class[class.Name] = class.Effect
+	}
+	return s
 }
 
-func (s *server) http(track func(net.Conn, http.ConnState)) *http.Server {
-	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: maxHead,
+// EndBy makes all that is taken from now on be answered by the instant given.
+func (s *Server) EndBy(at time.Duration) { s.endsAt.Store(int64(at)) }
+
+// EndsAt is the instant given to EndBy; 0: none.
+func (s *Server) EndsAt() time.Duration { return time.Duration(s.endsAt.Load()) }
+
+// CloseAll makes every answer from now on close its connection.
+func (s *Server) CloseAll() { s.ending.Store(true) }
+
+// HTTP is the server to run on a Listener, whose Track it must be given.
+func (s *Server) HTTP(track func(net.Conn, http.ConnState)) *http.Server {
+	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: upstream.MaxHead,
 		ConnState: track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
 // ServeHTTP implements http.Handler.
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := s.loop.clock.now()
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := s.loop.Now()
 	w = &closing{w, &s.ending}
 	// The framing comes first: nothing may be read as a request that stands in another's body.
 	if status, err := checkFraming(r); err != nil {
@@ -74,14 +99,14 @@
 		reject(w, status, err)
 		return
 	}
-	s.loop.post(func(now time.Duration) { s.loop.start(now, c) })
+	s.loop.Post(func(now time.Duration) { s.loop.Start(now, c) })
 	select {
-	case a := <-c.replies:
+	case a := <-c.Replies:
 		write(w, a)
 	case <-r.Context().Done():
-		s.loop.post(func(now time.Duration) { s.loop.leave(now, c) })
-	case <-s.loop.done:
-		write(w, reply{status: statusFailed})
+		s.loop.Post(func(now time.Duration) { s.loop.Leave(now, c) })
+	case <-s.loop.Done():
+		write(w, core.Reply{Verdict: core.Failed})
 	}
 }
 
@@ -100,7 +125,7 @@
 		return http.StatusBadRequest, errors.New("HTTP/1.1 is wanted")
 	case len(r.TransferEncoding) > 0:
 		return http.StatusLengthRequired, errors.New("Transfer-Encoding: a Content-Length is wanted")
-	case r.ContentLength > maxBody:
+	case r.ContentLength > upstream.MaxBody:
 		return http.StatusRequestEntityTooLarge, errors.New("the body is too long")
 	}
 	return 0, nil
@@ -124,7 +149,7 @@
 func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // read makes a call of a request, or says what is wrong with it.
-func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*call, int, error) {
+func (s *Server) read(r *http.Request, body []byte, arrived time.Duration) (*core.Call, int, error) {
 	class, status, err := s.checkClass(r, body)
 	if err != nil {
 		return nil, status, err
@@ -133,29 +158,29 @@
 	if err != nil || len(id) > maxID {
 		return nil, http.StatusBadRequest, errors.New("Req-Id: one of moderate length is wanted")
 	}
-	text, err := one(r.Header, deadlineName)
+	text, err := one(r.Header, upstream.DeadlineName)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
 	ms, err := strconv.ParseUint(text, 10, 64)
 	if err != nil || ms < 1 || ms > uint64(maxDeadline.Milliseconds()) {
-		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", deadlineName, text)
+		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", upstream.DeadlineName, text)
 	}
 	deadline := arrived + time.Duration(ms)*time.Millisecond - wayBack
 	if end := time.Duration(s.endsAt.Load()); end > 0 {
 		deadline = min(deadline, end)
 	}
-	return &call{
+	return &core.Call{
 		Request: balance.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
 			Deadline: deadline, Repeat: r.Header.Get("Req-Retry") == "1"},
-		message: &message{method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
-		replies: make(chan reply, 1),
+		Message: &upstream.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body},
+		Replies: make(chan core.Reply, 1),
 	}, 0, nil
 }
 
 // checkClass finds a request's class and holds the request to what endpoints take of it. A class that the settings
 // don't name must reach neither the module nor an endpoint: nobody knows what repeating it may do.
-func (s *server) checkClass(r *http.Request, body []byte) (class string, status int, err error) {
+func (s *Server) checkClass(r *http.Request, body []byte) (class string, status int, err error) {
 	if !isTarget(r.RequestURI) {
 		return "", http.StatusBadRequest, errors.New("the target is no plain path")
 	}
@@ -200,15 +225,15 @@
 
 // readBody reads a body whole, in bounded time. The time limit must be lifted afterwards: while a request waits for
 // its answer, a read that times out looks to net/http like a caller that has left.
-func (s *server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
 	if r.ContentLength == 0 {
 		return nil, 0, nil
 	}
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
+	if err := control.SetReadDeadline(time.Now().Add(s.BodyTimeout)); err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, upstream.MaxBody))
 	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too long")
 	}
@@ -240,25 +265,25 @@
 }
 
 // write sends the final answer.
-func write(w http.ResponseWriter, r reply) {
+func write(w http.ResponseWriter, r core.Reply) {
 	// Bounded, so that a caller that does not read can't hold a connection for good. An error means that it left.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	body := r.answer.body
-	if r.status == statusServed {
-		if r.answer.contentType != "" {
-			h.Set("Content-Type", r.answer.contentType)
+	body, status := r.Answer.Body, statusOf[r.Verdict]
+	if r.Verdict == core.Served {
+		if r.Answer.ContentType != "" {
+			h.Set("Content-Type", r.Answer.ContentType)
 		} else {
 			h["Content-Type"] = nil
 		}
 	} else {
-		body = []byte(http.StatusText(r.status) + "\n")
+		body = []byte(http.StatusText(status) + "\n")
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 	}
-	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,3 +1,5 @@
+// Package sidecar puts the decision module on real sockets: it wires the parts, reloads and drains. The parts carry
+// out what the module decides and decide nothing themselves.
 package sidecar
 
 import (
@@ -12,7 +14,11 @@
 
 	"golang.org/x/net/netutil"
 
-	"tuliprock/balance"
+	"tuliprock/internal/config"
+	"tuliprock/internal/core"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/front"
+	"tuliprock/internal/upstream"
 )
 
 const (
@@ -20,23 +26,24 @@
 	spareCallers     = 16                      // further callers, until an idle one is closed for them
 	acceptAfterTerm  = 600 * time.Millisecond  // new connections go on coming for a while after SIGTERM,
 	serveAfterTerm   = 2200 * time.Millisecond // callers go on using theirs for as long as these stay open,
+	lookAround       = 10 * time.Millisecond
 	answerAfterTerm  = 3500 * time.Millisecond // and what is not answered by now goes under with the process
 )
 
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
 	server    *http.Server
-	callers   *server
-	conns     *callers
-	loop      *loop
-	upstream  *upstream
-	discovery *discovery
-	config    Config
+	callers   *front.Server
+	conns     *front.Listener
+	loop      *core.Loop
+	upstream  *upstream.Client
+	discovery *discovery.Client
+	config    config.Config
 	log       *slog.Logger
 }
 
 // Start wires the parts and opens the listener; Serve does the work.
-func Start(c Config, log *slog.Logger) (*Sidecar, error) {
+func Start(c config.Config, log *slog.Logger) (*Sidecar, error) {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -44,38 +51,33 @@
 	settings := c.Settings.Settings
 	settings.MayProbe = false // probing endpoints is ruled out
 	each := max((c.Limits.Sockets-otherDescriptors-spareCallers)/2, 8)
-	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, each)
-	d := newDiscovery(c.Discovery, c.Known.Version, settings.MustSubscribe, log)
-	l := newLoop(settings, up, d.subscribe, log)
-	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
-	d.failed = func() {
-		l.post(func(now time.Duration) { l.balancer.EndpointList(now, balance.List{Failed: true}) })
-	}
+	up := upstream.New(c.Settings.ConnIdle, c.Settings.DialTimeout, each)
+	d := discovery.New(c.Discovery, c.Known.Version, settings.MustSubscribe, log)
+	l := core.New(settings, up, d.Subscribe, log)
+	d.Deliver = func(m discovery.Members) { l.Post(func(now time.Duration) { l.List(now, m) }) }
+	d.Failed = func() { l.Post(l.DiscoveryFailed) }
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
-	l.list(l.clock.now(), known)
+	l.List(l.Now(), known)
 
 	log.Info("listening", "addr", listener.Addr().String())
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	conns := newCallers(netutil.LimitListener(listener, each+spareCallers), each)
+	conns := front.NewListener(netutil.LimitListener(listener, each+spareCallers), each)
 
-	s := &server{loop: l, class: map[string]balance.Effect{}, log: log, bodyTimeout: bodyTimeout}
-	for _, class := range settings.Classes {
-		s.class[class.Name] = class.Effect
-	}
-	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d, config: c, log: log}, nil
+	s := front.New(l, settings.Classes, log)
+	return &Sidecar{server: s.HTTP(conns.Track), callers: s, conns: conns, loop: l, upstream: up, discovery: d, config: c, log: log}, nil
 }
 
 // Reload takes up a new configuration as far as a running sidecar can: discovery moves, the list and all that the
 // module has learned stay. It does no harm at any time, also during the end. It must not be called by two at once.
-func (s *Sidecar) Reload(c Config) {
+func (s *Sidecar) Reload(c config.Config) {
 	s.log.Info("configuration read again", "discovery", c.Discovery, "moves", c.Discovery != s.config.Discovery)
 	if c.Listen != s.config.Listen || c.Limits != s.config.Limits {
 		s.log.Warn("listen and limits change with a restart only")
 	}
 	if c.Discovery != s.config.Discovery {
 		s.config.Discovery = c.Discovery
-		s.discovery.move(c.Discovery)
+		s.discovery.Move(c.Discovery)
 	}
 }
 
@@ -86,7 +88,7 @@
 func (s *Sidecar) Serve(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){s.loop.run, s.upstream.run, s.discovery.run} {
+	for _, run := range []func(context.Context){s.loop.Run, s.upstream.Run, s.discovery.Run} {
 		parts.Go(func() { run(work) })
 	}
 	defer parts.Wait()
@@ -108,13 +110,13 @@
 // requests end by their deadlines, those taken from now on in time for the end, and net/http closes connections that
 // bring none.
 func (s *Sidecar) drain(served <-chan error) error {
-	s.callers.endsAt.Store(int64(s.loop.clock.now() + answerAfterTerm))
+	s.callers.EndBy(s.loop.Now() + answerAfterTerm)
 	began := time.Now()
-	for d := time.Duration(0); d < acceptAfterTerm || d < serveAfterTerm && s.conns.count() > 0; d = time.Since(began) {
+	for d := time.Duration(0); d < acceptAfterTerm || d < serveAfterTerm && s.conns.Count() > 0; d = time.Since(began) {
 		time.Sleep(lookAround)
 	}
-	s.callers.ending.Store(true)
-	err := s.conns.finish()
+	s.callers.CloseAll()
+	err := s.conns.Finish()
 	<-served // the listener is closed
 	return errors.Join(err, s.server.Close())
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,12 +10,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"tuliprock/balance"
+	"tuliprock/internal/config"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/testpeer"
 )
 
 const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
@@ -39,14 +42,14 @@
 
 func runWithin(t *testing.T, limits string, addrs ...string) *running {
 	t.Helper()
-	silent := httptest.NewServer(&script{calls: make(chan string, 100)})
+	silent := httptest.NewServer(&testpeer.Discovery{Calls: make(chan string, 100)})
 	var list []string
 	for i, addr := range addrs {
-		list = append(list, member(string(rune('a'+i)), addr, "Ready"))
+		list = append(list, testpeer.Member(string(rune('a'+i)), addr, "Ready"))
 	}
 	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
-		silent.Listener.Addr(), limits, members(1, true, list...), laneSettings)
-	c, err := parseConfig([]byte(text), noEnv)
+		silent.Listener.Addr(), limits, testpeer.Members(1, true, list...), laneSettings)
+	c, err := config.Parse([]byte(text), os.Getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +112,7 @@
 	in := bufio.NewReader(nc)
 	err = r.Write(nc)
 	if err == nil {
-		nc.SetReadDeadline(time.Now().Add(patience))
+		nc.SetReadDeadline(time.Now().Add(testpeer.Patience))
 		var resp *http.Response
 		if resp, err = http.ReadResponse(in, r); err == nil {
 			io.Copy(io.Discard, resp.Body)
@@ -149,30 +152,30 @@
 
 // What can't have run may be refused; what may have run is failed, and sent only once.
 func TestUnsafeWorkIsNotResentAndNotRefused(t *testing.T) {
-	e := newEndpoint(t, says("", false))
-	s := run(t, e.addr, e.addr, e.addr)
-	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != statusFailed {
+	e := testpeer.NewEndpoint(t, testpeer.Says("", false))
+	s := run(t, e.Addr, e.Addr, e.Addr)
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != http.StatusBadGateway {
 		t.Errorf("may have run: %d", status)
 	}
-	if n := e.requests.Load(); n != 1 {
+	if n := e.Requests.Load(); n != 1 {
 		t.Errorf("sent %d times", n)
 	}
-	closed := newEndpoint(t, says("", false))
-	closed.listener.Close()
-	s = run(t, closed.addr)
+	closed := testpeer.NewEndpoint(t, testpeer.Says("", false))
+	closed.Listener.Close()
+	s = run(t, closed.Addr)
 	status, _, h := ask(t, s.request(t, http.MethodPost, "/pay", "r2", 4000))
-	if status != statusRefused || h.Get("Retry-After") == "" {
+	if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
 		t.Errorf("never ran: %d %v", status, h)
 	}
 }
 
 func TestASilentEndpointStillGetsAnAnswerOut(t *testing.T) {
-	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 		nc.Read(make([]byte, 1))
 		return false
 	})
-	s := run(t, e.addr)
-	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != statusFailed {
+	s := run(t, e.Addr)
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != http.StatusBadGateway {
 		t.Errorf("status %d", status)
 	}
 }
@@ -193,41 +196,41 @@
 	}
 	select {
 	case <-left:
-	case <-time.After(patience):
+	case <-time.After(testpeer.Patience):
 		t.Error("the endpoint was left waiting")
 	}
 }
 
 func TestADuplicateLiveIDDoesNotDisturbTheFirst(t *testing.T) {
 	came, release := make(chan bool, 2), make(chan bool)
-	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 		came <- true
 		<-release
-		io.WriteString(nc, served)
+		io.WriteString(nc, testpeer.Served)
 		return true
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	first := make(chan int)
 	go func() {
 		status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000))
 		first <- status
 	}()
 	<-came
-	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000)); status != statusDuplicate {
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000)); status != http.StatusConflict {
 		t.Errorf("second: %d", status)
 	}
 	close(release)
 	if status := <-first; status != http.StatusOK {
 		t.Errorf("first: %d", status)
 	}
-	if n := e.requests.Load(); n != 1 {
+	if n := e.Requests.Load(); n != 1 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
 
 func TestBadInputReachesNoEndpoint(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := run(t, e.Addr)
 	const host, id, ms = " HTTP/1.1\r\nHost: h\r\n", "Req-Id: r1\r\n", "Req-Deadline-Ms: 1000\r\n"
 	for name, text := range map[string]string{
 		"noise":                     "\x01\x02 \x03\r\n\r\n",
@@ -272,7 +275,7 @@
 		}
 		nc.Close()
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 4000)); status != http.StatusOK {
@@ -283,16 +286,16 @@
 // A list goes through the loop, as discovery's do: what comes after it finds it in force.
 func (s *running) tell(t *testing.T, text string) {
 	t.Helper()
-	m, err := parseMembers([]byte(text))
+	m, err := discovery.ParseMembers([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.discovery.deliver(m)
+	s.discovery.Deliver(m)
 }
 
 func TestNothingNewGoesToWhatDrainsOrIsGone(t *testing.T) {
-	a, b := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
-	s := run(t, a.addr, b.addr)
+	a, b := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true)), testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := run(t, a.Addr, b.Addr)
 	n := 0
 	calls := func() (int32, int32) {
 		for range 8 {
@@ -301,16 +304,16 @@
 				t.Errorf("status %d", status)
 			}
 		}
-		return a.requests.Swap(0), b.requests.Swap(0)
+		return a.Requests.Swap(0), b.Requests.Swap(0)
 	}
 	if x, y := calls(); x == 0 || y == 0 {
 		t.Errorf("at first %d and %d", x, y)
 	}
-	s.tell(t, members(2, false, member("a", a.addr, "Terminating")))
+	s.tell(t, testpeer.Members(2, false, testpeer.Member("a", a.Addr, "Terminating")))
 	if x, y := calls(); x != 0 || y != 8 {
 		t.Errorf("with a draining, %d and %d", x, y)
 	}
-	s.tell(t, members(3, true, member("b", a.addr, "Ready"))) // a gone, b moved
+	s.tell(t, testpeer.Members(3, true, testpeer.Member("b", a.Addr, "Ready"))) // a gone, b moved
 	if x, y := calls(); x != 8 || y != 0 {
 		t.Errorf("with b moved, %d to its new address and %d to the old", x, y)
 	}
@@ -319,15 +322,15 @@
 // After SIGTERM callers go on coming for a while; all that was taken is answered before the end.
 func TestTheEndLosesNothing(t *testing.T) {
 	came, release := make(chan bool, 100), make(chan bool)
-	e := newEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
 		if strings.HasPrefix(r.Header.Get("Req-Id"), "slow") {
 			came <- true
 			<-release
 		}
-		io.WriteString(nc, served)
+		io.WriteString(nc, testpeer.Served)
 		return true
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	var slow sync.WaitGroup
 	for i := range 3 {
 		slow.Go(func() {
@@ -350,7 +353,7 @@
 	if _, err := in.ReadByte(); err != io.EOF {
 		t.Errorf("an idle connection: %v", err)
 	}
-	until(t, "the listener closes", func() bool {
+	testpeer.Until(t, "the listener closes", func() bool {
 		nc, err := net.Dial("tcp", s.addr)
 		if err == nil {
 			nc.Close()
@@ -369,15 +372,15 @@
 		if err != nil {
 			t.Errorf("ended with %v", err)
 		}
-	case <-time.After(patience):
+	case <-time.After(testpeer.Patience):
 		t.Error("never ended")
 	}
 }
 
 // Idle callers must give way when connections run short, and none may be lost.
 func TestIdleCallersGiveWay(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := runWithin(t, `{"sockets":64}`, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := runWithin(t, `{"sockets":64}`, e.Addr)
 	for i := range 100 { // far over the limit
 		_, _, resp := keep(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000))
 		if resp.StatusCode != http.StatusOK {
@@ -386,77 +389,34 @@
 	}
 }
 
-// The same start must always be the same instant, or an old one would pass for a restart.
-func TestStartsOfEndpointsBecomeInstants(t *testing.T) {
-	c := clock{time.Now()}
-	at := c.started.UnixMilli()
-	if c.instant(0) != 0 {
-		t.Errorf("long ago: %v", c.instant(0))
-	}
-	if got := c.instant(at - 2000); got != clockStart-2*time.Second {
-		t.Errorf("two seconds before the start: %v", got)
-	}
-	if got := c.instant(1); got != 0 {
-		t.Errorf("years ago: %v", got)
-	}
-	if now := c.now(); now < clockStart {
-		t.Errorf("now: %v", now)
-	}
-}
-
 // A body that never ends must not hold its connection, whatever else is wrong with the request.
 func TestAnUnfinishedBodyIsGivenUp(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
-	s.callers.bodyTimeout = 100 * time.Millisecond
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := run(t, e.Addr)
+	s.callers.BodyTimeout = 100 * time.Millisecond
 	for name, fields := range map[string]string{"good": "Req-Id: r1\r\nReq-Deadline-Ms: 60000\r\n", "no id": ""} {
 		nc, err := net.Dial("tcp", s.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		io.WriteString(nc, "POST /pay HTTP/1.1\r\nHost: h\r\n"+fields+"Content-Length: 9\r\n\r\nhalf")
-		nc.SetReadDeadline(time.Now().Add(patience))
+		nc.SetReadDeadline(time.Now().Add(testpeer.Patience))
 		text, err := io.ReadAll(nc) // to the end of the connection
 		if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 400 ") {
 			t.Errorf("%s: %q, %v", name, text, err)
 		}
 		nc.Close()
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
 
-// rearming asks for a timer that is due at once, each time one rings.
-type rearming struct {
-	balance.Events
-	host  balance.Host
-	rings int
-}
-
-func (r *rearming) Timer(now time.Duration) {
-	r.rings++
-	r.host.Timer(now)
-}
-
-// A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
-func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
-	l := newLoop(balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
-	r := &rearming{host: host{l}}
-	l.balancer = r
-	r.host.Timer(clockStart)
-	r.host.Timer(clockStart + 1)
-	l.handle(l.ring)
-	if r.rings != 2 || len(l.timers) != 2 {
-		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
-	}
-}
-
 // Seen on a day of bad callers: net/http drops Content-Length beside Transfer-Encoding, and what stood in the body
 // behind the last chunk went on to endpoints as a request of its own.
 func TestARequestHiddenInABodyGoesNowhere(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := run(t, e.Addr)
 	const fields = " HTTP/1.1\r\nHost: h\r\nReq-Deadline-Ms: 60000\r\n"
 	hidden := "0\r\n\r\nPOST /pay" + fields + "Req-Id: hidden\r\nContent-Length: 0\r\n\r\n"
 	for name, framing := range map[string]string{
@@ -473,7 +433,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		nc.SetDeadline(time.Now().Add(patience))
+		nc.SetDeadline(time.Now().Add(testpeer.Patience))
 		fmt.Fprintf(nc, "POST /pay"+fields+"Req-Id: outer\r\n"+framing+"\r\n%s", len(hidden), hidden)
 		in := bufio.NewReader(nc)
 		resp, err := http.ReadResponse(in, nil)
@@ -490,7 +450,7 @@
 		}
 		nc.Close()
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
@@ -499,28 +459,28 @@
 // request in flight is answered, and further reloads, also during the end, do no harm.
 func TestAReloadMovesDiscoveryAndDisturbsNothing(t *testing.T) {
 	came, release := make(chan bool), make(chan bool)
-	old := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+	old := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 		came <- true
 		<-release
-		io.WriteString(nc, served)
+		io.WriteString(nc, testpeer.Served)
 		return true
 	})
-	s := run(t, old.addr)
+	s := run(t, old.Addr)
 	first := make(chan int)
 	go func() {
 		status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 60000))
 		first <- status
 	}()
 	<-came
-	fresh := newEndpoint(t, says(served, true))
+	fresh := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
 	c := s.config
 	var calls chan string
-	c.Discovery, calls = another(t, members(1, true, member("new", fresh.addr, "Ready")), "SILENT")
+	c.Discovery, calls = another(t, testpeer.Members(1, true, testpeer.Member("new", fresh.Addr, "Ready")), "SILENT")
 	s.Reload(c)
 	<-calls
 	<-calls // the watch: the list is in force
-	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r2", 60000)); status != http.StatusOK || fresh.requests.Load() != 1 {
-		t.Errorf("after the move: %d, %d requests at the new endpoint", status, fresh.requests.Load())
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r2", 60000)); status != http.StatusOK || fresh.Requests.Load() != 1 {
+		t.Errorf("after the move: %d, %d requests at the new endpoint", status, fresh.Requests.Load())
 	}
 	s.Reload(c)
 	s.term()
@@ -537,8 +497,8 @@
 
 // Callers that connect by hundreds and say nothing must not hold up those that ask.
 func TestSilentConnectionsDoNotKeepCallersOut(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := runWithin(t, `{"sockets":64}`, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := runWithin(t, `{"sockets":64}`, e.Addr)
 	for i := range 200 {
 		nc, err := net.Dial("tcp", s.addr)
 		if err != nil {
@@ -550,7 +510,7 @@
 	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 60000)); status != http.StatusOK {
 		t.Errorf("status %d", status)
 	}
-	if n := s.conns.count(); n > 64 {
+	if n := s.conns.Count(); n > 64 {
 		t.Errorf("%d connections are held", n)
 	}
 }
@@ -558,20 +518,20 @@
 // While the process is there it serves: after SIGTERM a caller goes on using its connection, with answers in time for
 // the end.
 func TestCallersAreServedOnAfterTheSignal(t *testing.T) {
-	e := newEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
 		if r.Header.Get("Req-Id") != "long" {
-			io.WriteString(nc, served)
+			io.WriteString(nc, testpeer.Served)
 		}
 		return true
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	nc, in, _ := keep(t, s.request(t, http.MethodGet, "/look", "first", 60000))
 	s.term()
-	until(t, "the end is near", func() bool { return s.callers.endsAt.Load() > 0 })
+	testpeer.Until(t, "the end is near", func() bool { return s.callers.EndsAt() > 0 })
 	for _, row := range []struct {
 		id   string
 		want int
-	}{{"second", http.StatusOK}, {"long", statusRefused}} {
+	}{{"second", http.StatusOK}, {"long", http.StatusServiceUnavailable}} {
 		if err := s.request(t, http.MethodGet, "/look", row.id, 3600000).Write(nc); err != nil {
 			t.Fatal(err)
 		}
@@ -588,26 +548,25 @@
 
 // A long day brings ever new endpoints at old addresses, ids and connections; nothing of those that have gone may stay.
 func TestNothingGrowsWithEverNewNames(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := run(t, e.Addr)
 	for i := range 500 {
-		s.tell(t, members(i+2, true, member(fmt.Sprint("e", i), e.addr, "Ready")))
+		s.tell(t, testpeer.Members(i+2, true, testpeer.Member(fmt.Sprint("e", i), e.Addr, "Ready")))
 		if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000)); status != http.StatusOK {
 			t.Fatalf("request %d: status %d", i, status)
 		}
 	}
-	until(t, "callers' connections end", func() bool { return s.conns.count() == 0 })
+	testpeer.Until(t, "callers' connections end", func() bool { return s.conns.Count() == 0 })
 	left := make(chan [4]int)
-	s.loop.post(func(time.Duration) {
-		left <- [4]int{len(s.loop.calls), len(s.loop.members), len(s.loop.later), len(s.loop.timers)}
+	s.loop.Post(func(time.Duration) {
+		calls, members, events, timers := s.loop.Held()
+		left <- [4]int{calls, members, events, timers}
 	})
 	if n := <-left; n[0] != 0 || n[1] != 1 || n[2] != 0 || n[3] > 600 {
 		t.Errorf("calls, members, events, timers: %v", n)
 	}
-	s.upstream.mu.Lock()
-	defer s.upstream.mu.Unlock()
-	if len(s.upstream.pools) != 1 || s.upstream.open > 1 {
-		t.Errorf("%d pools, %d connections to endpoints", len(s.upstream.pools), s.upstream.open)
+	if endpoints, connections := s.upstream.Held(); endpoints != 1 || connections > 1 {
+		t.Errorf("%d pools, %d connections to endpoints", endpoints, connections)
 	}
 }
 
@@ -615,10 +574,10 @@
 func TestConnectionsThatDoNotLastAreUsedWhileTheyStand(t *testing.T) {
 	var mu sync.Mutex
 	idle := map[net.Conn]bool{}
-	var all []*endpoint
+	var all []*testpeer.Endpoint
 	var addrs []string
 	for range 4 {
-		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			for other := range idle {
@@ -629,10 +588,10 @@
 			}
 			idle[nc] = true
 			time.Sleep(4 * time.Millisecond) // its work, so that all take about the same
-			io.WriteString(nc, served)
+			io.WriteString(nc, testpeer.Served)
 			return true
 		})
-		all, addrs = append(all, e), append(addrs, e.addr)
+		all, addrs = append(all, e), append(addrs, e.Addr)
 	}
 	s := run(t, addrs...)
 	const calls = 60
@@ -643,9 +602,21 @@
 	}
 	opened := int32(0)
 	for _, e := range all {
-		opened += e.connections.Load()
+		opened += e.Connections.Load()
 	}
 	if opened > calls*2/3 {
 		t.Errorf("%d connections for %d calls one after another", opened, calls)
 	}
 }
+
+// another starts a discovery that plays the steps and reports the calls to it.
+func another(t *testing.T, steps ...string) (addr string, calls chan string) {
+	t.Helper()
+	d := &testpeer.Discovery{Steps: steps, Calls: make(chan string, 100)}
+	server := httptest.NewServer(d)
+	t.Cleanup(func() {
+		server.CloseClientConnections() // a watch may still be open
+		server.Close()
+	})
+	return server.Listener.Addr().String(), d.Calls
+}
--- /dev/null
+++ b/internal/testpeer/testpeer.go
@@ -0,0 +1,118 @@
+// Package testpeer has scripted peers for tests: endpoints and a discovery on loopback. Only tests import it.
+package testpeer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Patience is a time that no test should come near.
+const Patience = 20 * time.Second
+
+// Served is an endpoint's good answer.
+const Served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+// Endpoint accepts connections and hands each request that comes whole to a function, which returns false to close.
+type Endpoint struct {
+	Addr        string
+	Listener    net.Listener
+	Connections atomic.Int32
+	Requests    atomic.Int32
+}
+
+// NewEndpoint starts an Endpoint that ends with the test. serve is told how many requests have come so far.
+func NewEndpoint(t *testing.T, serve func(nc net.Conn, r *http.Request, n int) bool) *Endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	e := &Endpoint{Addr: l.Addr().String(), Listener: l}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.Connections.Add(1)
+			go e.run(nc, serve)
+		}
+	}()
+	return e
+}
+
+func (e *Endpoint) run(nc net.Conn, serve func(net.Conn, *http.Request, int) bool) {
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !serve(nc, r, int(e.Requests.Add(1))) {
+			return
+		}
+	}
+}
+
+// Says answers every request with the same bytes, and keeps the connection or not.
+func Says(text string, stay bool) func(net.Conn, *http.Request, int) bool {
+	return func(nc net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(nc, text)
+		return stay
+	}
+}
+
+// Until waits for a condition.
+func Until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// Members is a message from discovery.
+func Members(version int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+}
+
+// Member is an entry of Members.
+func Member(id, addr, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","kind":"k","cell":3,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, state)
+}
+
+// Discovery answers each call with its next step and reports the call. Past the last step it says nothing.
+type Discovery struct {
+	Steps []string // lines; "SILENT" at the end holds the connection open
+	Calls chan string
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Calls <- r.URL.RawQuery
+	if len(s.Steps) == 0 {
+		<-r.Context().Done()
+		return
+	}
+	step := s.Steps[0]
+	s.Steps = s.Steps[1:]
+	text, silent := strings.CutSuffix(step, "SILENT")
+	io.WriteString(w, text)
+	w.(http.Flusher).Flush()
+	if silent {
+		<-r.Context().Done()
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package upstream makes attempts at endpoints over connections of its own, and tells by evidence how each ended.
+package upstream
 
 import (
 	"bufio"
@@ -18,8 +19,8 @@
 )
 
 const (
-	maxBody      = 64 << 10 // of a request or an answer
-	maxHead      = 16 << 10
+	MaxBody      = 64 << 10 // of a request or an answer
+	MaxHead      = 16 << 10
 	maxAnswered  = 8 << 10                // of an answer's head
 	maxInterim   = 8                      // 1xx answers ahead of the one that counts
 	answerWhole  = 500 * time.Millisecond // from an answer's first byte to its last
@@ -29,27 +30,27 @@
 	idleShare    = 0.9                  // of the endpoint's idle limit, after which a connection is no longer used
 	restAfter    = 2 * time.Millisecond // rest of a connection between an answer and the next request
 	declined     = "Srv-Declined"
-	deadlineName = "Req-Deadline-Ms"
+	DeadlineName = "Req-Deadline-Ms"
 )
 
-// message is a request as it goes on to endpoints.
-type message struct {
-	method string
-	target string
-	host   string
-	header http.Header
-	body   []byte
+// Message is a request as it goes on to endpoints.
+type Message struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
 }
 
-// answer is an endpoint's whole 200 answer.
-type answer struct {
-	contentType string
-	body        []byte
+// Answer is an endpoint's whole 200 answer.
+type Answer struct {
+	ContentType string
+	Body        []byte
 }
 
-// upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
+// Client makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
-type upstream struct {
+type Client struct {
 	idleFor, dialTimeout time.Duration
 	settle               time.Duration // rest of a connection after an answer
 	most                 int           // connections open at once
@@ -77,19 +78,21 @@
 	idleAt time.Time
 }
 
-func newUpstream(idle, dial time.Duration, most int) *upstream {
+// New makes a Client. Endpoints close connections that were idle for idle (0: not told); a connection that is not up
+// within dial has failed (0: not told); most bounds the connections open at once.
+func New(idle, dial time.Duration, most int) *Client {
 	if idle <= 0 {
 		idle = defaultIdle
 	}
 	if dial <= 0 {
 		dial = defaultDial
 	}
-	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, settle: restAfter, most: most, pools: map[string]*pool{}}
+	return &Client{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, settle: restAfter, most: most, pools: map[string]*pool{}}
 }
 
-// setMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
+// SetMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
 // to an endpoint that takes nothing new, are closed.
-func (u *upstream) setMember(id, addr string, keep bool) {
+func (u *Client) SetMember(id, addr string, keep bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
@@ -103,8 +106,8 @@
 	p.addr, p.keep = addr, keep
 }
 
-// removeMember forgets an endpoint.
-func (u *upstream) removeMember(id string) {
+// RemoveMember forgets an endpoint.
+func (u *Client) RemoveMember(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p := u.pools[id]; p != nil {
@@ -115,26 +118,26 @@
 }
 
 // drain closes a pool's idle connections. u.mu is held.
-func (u *upstream) drain(p *pool) {
+func (u *Client) drain(p *pool) {
 	for _, c := range p.idle {
 		u.closeLocked(c)
 	}
 	p.idle = nil
 }
 
-func (u *upstream) closeLocked(c *conn) {
+func (u *Client) closeLocked(c *conn) {
 	c.Close()
 	u.open--
 }
 
-func (u *upstream) discard(c *conn) {
+func (u *Client) discard(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closeLocked(c)
 }
 
-// run closes idle connections that have died or stood too long, until ctx ends; then it closes all idle ones.
-func (u *upstream) run(ctx context.Context) {
+// Run closes idle connections that have died or stood too long, until ctx ends; then it closes all idle ones.
+func (u *Client) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
@@ -148,7 +151,7 @@
 	}
 }
 
-func (u *upstream) sweep(keep func(*conn) bool) {
+func (u *Client) sweep(keep func(*conn) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, p := range u.pools {
@@ -178,11 +181,11 @@
 }
 
 // usable tells whether an idle connection may carry the next attempt.
-func (u *upstream) usable(c *conn) bool { return time.Since(c.idleAt) < u.idleFor && c.quiet() }
+func (u *Client) usable(c *conn) bool { return time.Since(c.idleAt) < u.idleFor && c.quiet() }
 
-// idle tells whether an idle connection to the endpoint is usable, by a look at it: most that are closed while idle
+// Idle tells whether an idle connection to the endpoint is usable, by a look at it: most that are closed while idle
 // are closed between two sweeps. Those found dead on the way go.
-func (u *upstream) idle(id string) bool {
+func (u *Client) Idle(id string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
@@ -204,7 +207,7 @@
 // take returns an idle connection to the endpoint, or else dials one. Nothing in an answer shows which request it
 // belongs to: whatever comes before ours is written must be seen before, and the connection dropped. A second copy
 // may come a little after the first, so a connection rests for a moment, and is looked at last thing.
-func (u *upstream) take(ctx context.Context, id string) (*conn, error) {
+func (u *Client) take(ctx context.Context, id string) (*conn, error) {
 	for {
 		p, addr, c, err := u.reserve(id)
 		if err != nil {
@@ -214,7 +217,10 @@
 			return u.dial(ctx, p, addr)
 		}
 		if rest := u.settle - time.Since(c.idleAt); rest > 0 {
-			sleep(ctx, rest)
+			select {
+			case <-ctx.Done():
+			case <-time.After(rest):
+			}
 		}
 		if u.usable(c) {
 			return c, nil
@@ -224,7 +230,7 @@
 }
 
 // dial opens a connection for which reserve has given the right.
-func (u *upstream) dial(ctx context.Context, p *pool, addr string) (c *conn, err error) {
+func (u *Client) dial(ctx context.Context, p *pool, addr string) (c *conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, u.dialTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -251,7 +257,7 @@
 
 // reserve takes the idle connection used last of those that have rested, if there is one, or the right to open one to
 // the address returned.
-func (u *upstream) reserve(id string) (*pool, string, *conn, error) {
+func (u *Client) reserve(id string) (*pool, string, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
@@ -275,7 +281,7 @@
 }
 
 // evict closes the connection that has been idle longest, wherever it leads. u.mu is held.
-func (u *upstream) evict() bool {
+func (u *Client) evict() bool {
 	var oldest *pool
 	for _, p := range u.pools {
 		if len(p.idle) > 0 && (oldest == nil || p.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
@@ -291,7 +297,7 @@
 }
 
 // giveBack keeps a connection for the next attempt, if the endpoint is still where it leads.
-func (u *upstream) giveBack(c *conn) {
+func (u *Client) giveBack(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !c.pool.keep || c.pool.addr != c.addr {
@@ -302,17 +308,17 @@
 	c.pool.idle = append(c.pool.idle, c)
 }
 
-// attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
-// attempt returns: no second attempt can be out beside this one. It tells whether the connection had served before.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) (r balance.Result, reused bool, a answer) {
+// Attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
+// Attempt returns: no second attempt can be out beside this one. It tells whether the connection had served before.
+func (u *Client) Attempt(ctx context.Context, id string, m *Message) (r balance.Result, reused bool, a Answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
 	if err != nil {
-		return unlessCanceled(ctx, notConnected(err)), false, answer{}
+		return unlessCanceled(ctx, notConnected(err)), false, Answer{}
 	}
 	reused = !c.idleAt.IsZero()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	r, a, reusable := c.exchange(ctx, m.method, text)
+	r, a, reusable := c.exchange(ctx, m.Method, text)
 	if stop() && reusable {
 		u.giveBack(c)
 	} else {
@@ -362,23 +368,23 @@
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, method string, text []byte) (r balance.Result, a answer, reusable bool) {
+func (c *conn) exchange(ctx context.Context, method string, text []byte) (r balance.Result, a Answer, reusable bool) {
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
-		return unlessCanceled(ctx, balance.ConnectFailed), answer{}, false
+		return unlessCanceled(ctx, balance.ConnectFailed), Answer{}, false
 	}
 	resp, body, err := c.readAnswer(method)
 	if err != nil {
-		return c.broken(ctx, err), answer{}, false
+		return c.broken(ctx, err), Answer{}, false
 	}
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return balance.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
+		return balance.OK, Answer{resp.Header.Get("Content-Type"), body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
-		return balance.Full, answer{}, reusable
+		return balance.Full, Answer{}, reusable
 	}
-	return balance.Errored, answer{}, reusable
+	return balance.Errored, Answer{}, reusable
 }
 
 func isUnavailable(status int) bool {
@@ -388,7 +394,7 @@
 // readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole. Once it
 // has begun it must come at once: a spoilt one may never end, and its connection stays open.
 func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
-	c.limit.N = maxHead + maxBody
+	c.limit.N = MaxHead + MaxBody
 	for range maxInterim {
 		if _, err := c.read.Peek(1); err != nil {
 			return nil, nil, err
@@ -421,12 +427,12 @@
 	}
 	defer resp.Body.Close()
 	switch {
-	case resp.StatusCode == http.StatusSwitchingProtocols, resp.StatusCode < 100, resp.ContentLength > maxBody,
+	case resp.StatusCode == http.StatusSwitchingProtocols, resp.StatusCode < 100, resp.ContentLength > MaxBody,
 		resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return nil, nil, fmt.Errorf("%w: status %d, length %d", errSpoilt, resp.StatusCode, resp.ContentLength)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
 		err = fmt.Errorf("%w: too long", errSpoilt)
 	}
 	return resp, body, err
@@ -472,19 +478,26 @@
 
 // bytes is the request as written to an endpoint, with a length and no other framing. Its deadline says how long
 // this sidecar waits.
-func (m *message) bytes(ctx context.Context) []byte {
+func (m *Message) bytes(ctx context.Context) []byte {
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.Method, m.Target, m.Host)
 	skip := map[string]bool{"Content-Length": true, "Host": true}
 	if at, ok := ctx.Deadline(); ok {
-		skip[deadlineName] = true
-		fmt.Fprintf(&text, "%s: %d\r\n", deadlineName, max(time.Until(at).Milliseconds(), 1))
+		skip[DeadlineName] = true
+		fmt.Fprintf(&text, "%s: %d\r\n", DeadlineName, max(time.Until(at).Milliseconds(), 1))
 	}
-	if len(m.body) > 0 || m.method != http.MethodGet {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(m.body))
+	if len(m.Body) > 0 || m.Method != http.MethodGet {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(m.Body))
 	}
-	_ = m.header.WriteSubset(&text, skip) // a Buffer takes all
+	_ = m.Header.WriteSubset(&text, skip) // a Buffer takes all
 	text.WriteString("\r\n")
-	text.Write(m.body)
+	text.Write(m.Body)
 	return text.Bytes()
 }
+
+// Held tells how many endpoints are known and how many connections to them are open.
+func (u *Client) Held() (endpoints, connections int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.pools), u.open
+}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,88 +1,30 @@
-package sidecar
+package upstream
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/testpeer"
 )
 
-const patience = 20 * time.Second // no test should come near it
-
-// endpoint accepts connections and hands each request that comes whole to serve, which returns false to close.
-type endpoint struct {
-	addr        string
-	listener    net.Listener
-	connections atomic.Int32
-	requests    atomic.Int32
-}
-
-func newEndpoint(t *testing.T, serve func(nc net.Conn, r *http.Request, n int) bool) *endpoint {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	e := &endpoint{addr: l.Addr().String(), listener: l}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.connections.Add(1)
-			go e.run(nc, serve)
-		}
-	}()
-	return e
-}
-
-func (e *endpoint) run(nc net.Conn, serve func(net.Conn, *http.Request, int) bool) {
-	defer nc.Close()
-	in := bufio.NewReader(nc)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		if !serve(nc, r, int(e.requests.Add(1))) {
-			return
-		}
-	}
-}
-
-func says(text string, stay bool) func(net.Conn, *http.Request, int) bool {
-	return func(nc net.Conn, _ *http.Request, _ int) bool {
-		io.WriteString(nc, text)
-		return stay
-	}
-}
-
-const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
-
-func testUpstream(t *testing.T, addrs ...string) *upstream {
+func testUpstream(t *testing.T, addrs ...string) *Client {
 	t.Helper()
-	u := newUpstream(time.Minute, patience, 100)
+	u := New(time.Minute, testpeer.Patience, 100)
 	for i, addr := range addrs {
-		u.setMember(string(rune('a'+i)), addr, true)
+		u.SetMember(string(rune('a'+i)), addr, true)
 	}
 	t.Cleanup(func() { u.sweep(func(*conn) bool { return false }) })
 	return u
 }
 
-func get(path string) *message {
-	return &message{method: http.MethodGet, target: path, host: "api.internal", header: http.Header{"Req-Id": {"r1"}}}
+func get(path string) *Message {
+	return &Message{Method: http.MethodGet, Target: path, Host: "api.internal", Header: http.Header{"Req-Id": {"r1"}}}
 }
 
 func ctxFor(t *testing.T, d time.Duration) context.Context {
@@ -99,9 +41,9 @@
 		want balance.Result
 		stay bool
 	}{
-		"200":                      {served, balance.OK, true},
+		"200":                      {testpeer.Served, balance.OK, true},
 		"200 in chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.OK, true},
-		"200 after interim":        {"HTTP/1.1 103 Early Hints\r\n\r\n" + served, balance.OK, true},
+		"200 after interim":        {"HTTP/1.1 103 Early Hints\r\n\r\n" + testpeer.Served, balance.OK, true},
 		"500":                      {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
 		"503 declined":             {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
 		"504 declined":             {"HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
@@ -123,21 +65,21 @@
 		"two lengths":              {head + "2\r\nContent-Length: 3\r\n\r\nhi", balance.Errored, true},
 		"bare line feeds":          {"HTTP/1.1 200 OK\nContent-Length: 2\n\r\n\r\nhi", balance.Errored, true},
 		"a folded field":           {"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", balance.Errored, true},
-		"another protocol":         {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + served, balance.Errored, true},
-		"only interim":             {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + served, balance.Errored, true},
+		"another protocol":         {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + testpeer.Served, balance.Errored, true},
+		"only interim":             {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + testpeer.Served, balance.Errored, true},
 		"an unreadable report":     {"HTTP/1.1 200 OK\r\nSrv-Load: \xff;=,,inflight\r\nContent-Length: 2\r\n\r\nhi", balance.OK, true},
 		"noise":                    {"\x00\x01\r\n\r\n", balance.Errored, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := newEndpoint(t, says(row.says, row.stay))
-			result, _, a := testUpstream(t, e.addr).attempt(ctxFor(t, patience), "a", get("/c"))
+			e := testpeer.NewEndpoint(t, testpeer.Says(row.says, row.stay))
+			result, _, a := testUpstream(t, e.Addr).Attempt(ctxFor(t, testpeer.Patience), "a", get("/c"))
 			if result != row.want {
 				t.Errorf("outcome %v, want %v", result, row.want)
 			}
-			if want := map[bool]string{true: "hi"}[row.want == balance.OK]; string(a.body) != want {
-				t.Errorf("body %q, want %q", a.body, want)
+			if want := map[bool]string{true: "hi"}[row.want == balance.OK]; string(a.Body) != want {
+				t.Errorf("body %q, want %q", a.Body, want)
 			}
-			if n := e.requests.Load(); n != 1 {
+			if n := e.Requests.Load(); n != 1 {
 				t.Errorf("the request came %d times", n)
 			}
 		})
@@ -145,22 +87,22 @@
 }
 
 func TestNoConnectionIsConnectFailed(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	u := testUpstream(t, e.Addr)
 	u.dialTimeout = time.Nanosecond
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.ConnectFailed {
+	if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.ConnectFailed {
 		t.Errorf("never up: %v", r)
 	}
-	e.listener.Close()
-	u.dialTimeout = patience
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.ConnectFailed {
+	e.Listener.Close()
+	u.dialTimeout = testpeer.Patience
+	if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.ConnectFailed {
 		t.Errorf("refused: %v", r)
 	}
-	if r, _, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != balance.NotSent {
+	if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "unlisted", get("/c")); r != balance.NotSent {
 		t.Errorf("no address: %v", r)
 	}
 	u.most = 0 // a shortage here must not count against the endpoint
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.NotSent {
+	if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.NotSent {
 		t.Errorf("no descriptors: %v", r)
 	}
 	if u.open != 0 {
@@ -183,8 +125,8 @@
 		}
 	}()
 	m := get("/c")
-	m.method, m.body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
-	if r, _, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != balance.ConnectFailed {
+	m.Method, m.Body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
+	if r, _, _ := testUpstream(t, l.Addr().String()).Attempt(ctxFor(t, testpeer.Patience), "a", m); r != balance.ConnectFailed {
 		t.Errorf("outcome %v", r)
 	}
 }
@@ -193,20 +135,20 @@
 func TestGivingUpClosesTheConnection(t *testing.T) {
 	for _, want := range []balance.Result{balance.TimedOut, balance.Canceled} {
 		came, closed := make(chan bool, 1), make(chan error, 1)
-		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
 			came <- true
 			_, err := nc.Read(make([]byte, 1))
 			closed <- err
 			return false
 		})
-		u := testUpstream(t, e.addr)
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		u := testUpstream(t, e.Addr)
+		ctx, cancel := context.WithTimeout(context.Background(), testpeer.Patience)
 		if want == balance.TimedOut {
 			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
 		} else {
 			go func() { <-came; cancel() }()
 		}
-		r, _, _ := u.attempt(ctx, "a", get("/c"))
+		r, _, _ := u.Attempt(ctx, "a", get("/c"))
 		cancel()
 		if r != want {
 			t.Errorf("outcome %v, want %v", r, want)
@@ -223,75 +165,66 @@
 // net/http's Transport would send these again by itself.
 func TestABrokenReusedConnectionIsNotResent(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
-		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
+		e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
 			if n > 1 {
 				return false
 			}
-			io.WriteString(nc, served)
+			io.WriteString(nc, testpeer.Served)
 			return true
 		})
-		u := testUpstream(t, e.addr)
+		u := testUpstream(t, e.Addr)
 		m := get("/c")
-		m.method = method
-		m.header.Set("Idempotency-Key", "k")
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", m); r != balance.OK {
+		m.Method = method
+		m.Header.Set("Idempotency-Key", "k")
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", m); r != balance.OK {
 			t.Fatalf("first: %v", r)
 		}
-		if r, reused, _ := u.attempt(ctxFor(t, patience), "a", m); r != balance.Reset || !reused {
+		if r, reused, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", m); r != balance.Reset || !reused {
 			t.Errorf("%s on a connection that broke: %v, reused %v", method, r, reused)
 		}
-		if n, c := e.requests.Load(), e.connections.Load(); n != 2 || c != 1 {
+		if n, c := e.Requests.Load(), e.Connections.Load(); n != 2 || c != 1 {
 			t.Errorf("%s: %d requests on %d connections", method, n, c)
 		}
 	}
 }
 
 // until polls for what the kernel does in its own time.
-func until(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("never: %s", what)
-		}
-	}
-}
-
 func TestADeadIdleConnectionIsNotPicked(t *testing.T) {
 	for name, behind := range map[string]string{"closed": "", "bytes that nobody asked for": "x"} {
 		answered := make(chan bool, 1)
-		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
-			io.WriteString(nc, served)
+		e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
+			io.WriteString(nc, testpeer.Served)
 			if n == 1 {
 				<-answered
 				io.WriteString(nc, behind)
 			}
 			return n > 1
 		})
-		u := testUpstream(t, e.addr)
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
+		u := testUpstream(t, e.Addr)
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.OK {
 			t.Fatalf("%s: first: %v", name, r)
 		}
 		answered <- true
-		until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
+		testpeer.Until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.OK {
 			t.Errorf("%s: second: %v", name, r)
 		}
-		if c := e.connections.Load(); c != 2 {
+		if c := e.Connections.Load(); c != 2 {
 			t.Errorf("%s: %d connections", name, c)
 		}
 	}
 }
 
 func TestConnectionsAreReusedAndRetired(t *testing.T) {
-	e := newEndpoint(t, says(served, true))
-	other := newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr)
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	other := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	u := testUpstream(t, e.Addr)
 	try := func(want int32) {
 		t.Helper()
-		if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != balance.OK {
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c")); r != balance.OK {
 			t.Fatalf("outcome %v", r)
 		}
-		if c := e.connections.Load(); c != want {
+		if c := e.Connections.Load(); c != want {
 			t.Errorf("%d connections, want %d", c, want)
 		}
 	}
@@ -299,23 +232,23 @@
 	try(1)
 	u.pools["a"].idle[0].idleAt = time.Now().Add(-u.idleFor) // the endpoint may close it any moment
 	try(2)
-	u.setMember("a", other.addr, true) // moved: the old connection leads elsewhere
+	u.SetMember("a", other.Addr, true) // moved: the old connection leads elsewhere
 	try(2)
-	if c := other.connections.Load(); c != 1 || u.open != 1 {
+	if c := other.Connections.Load(); c != 1 || u.open != 1 {
 		t.Errorf("%d connections to the new address, %d open", c, u.open)
 	}
-	u.setMember("a", other.addr, false)
+	u.SetMember("a", other.Addr, false)
 	if u.open != 0 {
 		t.Errorf("%d connections to an endpoint that drains", u.open)
 	}
 }
 
 func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
-	e, f := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr, f.addr)
+	e, f := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true)), testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	u := testUpstream(t, e.Addr, f.Addr)
 	u.most = 1
 	for _, id := range []string{"a", "b", "a"} {
-		if r, _, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != balance.OK {
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), id, get("/c")); r != balance.OK {
 			t.Errorf("%s: %v", id, r)
 		}
 		if u.open != 1 {
@@ -328,7 +261,7 @@
 // the first brought nothing more with it and the next request is there at once.
 func TestASecondCopyIsNotTheNextAnswer(t *testing.T) {
 	answered := make(chan bool)
-	e := newEndpoint(t, func(nc net.Conn, r *http.Request, n int) bool {
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, n int) bool {
 		text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.Header.Get("Req-Id")
 		io.WriteString(nc, text)
 		if n == 1 {
@@ -337,42 +270,42 @@
 		}
 		return true
 	})
-	u := testUpstream(t, e.addr)
+	u := testUpstream(t, e.Addr)
 	u.settle = time.Second
 	for _, id := range []string{"r1", "r2"} {
 		m := get("/c")
-		m.header.Set("Req-Id", id)
-		if r, _, a := u.attempt(ctxFor(t, patience), "a", m); r != balance.OK || string(a.body) != id {
-			t.Errorf("request %s: %v, answer %q", id, r, a.body)
+		m.Header.Set("Req-Id", id)
+		if r, _, a := u.Attempt(ctxFor(t, testpeer.Patience), "a", m); r != balance.OK || string(a.Body) != id {
+			t.Errorf("request %s: %v, answer %q", id, r, a.Body)
 		}
 		if id == "r1" {
 			answered <- true
 		}
 	}
-	if c := e.connections.Load(); c != 2 {
+	if c := e.Connections.Load(); c != 2 {
 		t.Errorf("%d connections", c)
 	}
 }
 
 func TestOnlyAConnectionThatStandsIsIdle(t *testing.T) {
 	release := make(chan bool)
-	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
-		io.WriteString(nc, served)
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(nc, testpeer.Served)
 		<-release
 		return false
 	})
-	u := testUpstream(t, e.addr)
-	if u.idle("a") || u.idle("unknown") {
+	u := testUpstream(t, e.Addr)
+	if u.Idle("a") || u.Idle("unknown") {
 		t.Error("idle before the first attempt")
 	}
-	if r, _, _ := u.attempt(ctxFor(t, patience), "a", get("/look")); r != balance.OK {
+	if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/look")); r != balance.OK {
 		t.Fatal(r)
 	}
-	if !u.idle("a") {
+	if !u.Idle("a") {
 		t.Error("not idle after an answer")
 	}
 	close(release)
-	until(t, "the close is seen", func() bool { return !u.idle("a") })
+	testpeer.Until(t, "the close is seen", func() bool { return !u.Idle("a") })
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open != 0 {
