--- /dev/null
+++ b/cmd/tuliprock/command.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"tuliprock/deploy/rehearsals"
+	"tuliprock/internal/plain"
+)
+
+// commands is the command line.
+type commands struct {
+	Rehearse rehearseCommand `cmd:"" help:"Play a day on this machine, with stand-ins and real sidecars, and say whether each rule held."`
+	Plain    plainCommand    `cmd:"" hidden:"" help:"The daemon with a textbook picker in the module's place, for rehearsals."`
+}
+
+// verdict is an error that ends with exitBad: the work ran.
+type verdict struct{ error }
+
+// command runs one and gives the exit code.
+func command(args []string) int {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("tuliprock"), kong.Description("A load-balancing sidecar. With no argument: the daemon, as ROUTER_CONFIG says."),
+		kong.Vars{"day": rehearsals.Default, "days": strings.Join(rehearsals.Names(), ", ")})
+	if err != nil {
+		panic(err) // the struct above is wrong
+	}
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		err = ctx.Run()
+	}
+	if err == nil {
+		return exitHeld
+	}
+	fmt.Fprintln(os.Stderr, "tuliprock:", err)
+	if bad := (verdict{}); errors.As(err, &bad) {
+		return exitBad
+	}
+	return exitUsage
+}
+
+type plainCommand struct {
+	Name string `arg:"" help:"random, round-robin or least-outstanding"`
+}
+
+// Run implements kong's command.
+func (c *plainCommand) Run() error {
+	decide, err := plain.New(c.Name)
+	if err != nil {
+		return err
+	}
+	return serve(decide)
+}
--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -1,65 +1,26 @@
-// Tuliprock is a load-balancing sidecar: it takes requests from callers and passes each to the endpoint that
-// the decision module chooses.
+// Tuliprock is a load-balancing sidecar: it takes requests from callers and passes each to the endpoint that the
+// decision module chooses. Started with no argument it is the platform's daemon; its tools are commands.
 package main
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
-
-	"tuliprock/internal/config"
-	"tuliprock/internal/sidecar"
 )
 
+// Exit codes, the same for all commands.
 const (
-	heapShare = 0.7 // of the memory limit that the heap may take before the collector works harder
-	gcPercent = 50  // the live heap is small, and rare collections look like growth: 300 put off the first one for a minute
+	exitHeld = iota
+	exitBad  // the work ran and its verdict is bad
+	exitUsage
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "tuliprock:", err)
-		os.Exit(1)
-	}
-}
-
-// run serves until SIGTERM or SIGINT has come and all that was taken has been answered. SIGHUP reads the
-// configuration again.
-func run() error {
-	hup := make(chan os.Signal, 1) // before all else: uncaught, the signal ends the program
-	signal.Notify(hup, syscall.SIGHUP)
-	c, err := config.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(max(int(c.Limits.Cores), 1))
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB) * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", c.Name)
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	s, err := sidecar.Start(c, log)
-	if err != nil {
-		return err
-	}
-	go reload(s, hup, log)
-	return s.Serve(ctx)
-}
-
-// reload reads the configuration again after each signal, for as long as the program runs. A bad one changes nothing.
-func reload(s *sidecar.Sidecar, hup <-chan os.Signal, log *slog.Logger) {
-	for range hup {
-		c, err := config.Load(os.Getenv)
-		if err != nil {
-			log.Error("the new configuration is not taken up", "err", err)
-			continue
+	if len(os.Args) == 1 {
+		if err := daemon(); err != nil {
+			fmt.Fprintln(os.Stderr, "tuliprock:", err)
+			os.Exit(1)
 		}
-		s.Reload(c)
+		return
 	}
+	os.Exit(command(os.Args[1:]))
 }
--- /dev/null
+++ b/cmd/tuliprock/rehearse.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+
+	"tuliprock/deploy/rehearsals"
+	"tuliprock/internal/plain"
+	"tuliprock/internal/rehearse"
+)
+
+type rehearseCommand struct {
+	Day     string        `arg:"" optional:"" help:"A day's file, or the name of one that ships (${days}); none: ${day}."`
+	Seeds   []uint64      `name:"seed" sep:"," placeholder:"N,..." help:"Draw the day by these seeds, one after another, instead of its own."`
+	Demand  []float64     `sep:"," default:"1" help:"Times the day's demand; several are played one after another."`
+	Against []string      `sep:"," placeholder:"NAME,..." help:"Play the same with plain pickers too: random, round-robin, least-outstanding."`
+	Length  time.Duration `help:"Cut the day to this length; its troubles move along."`
+	Plan    bool          `help:"Print the drawn schedule, fleet and troubles as lines of JSON, and play nothing."`
+	JSON    string        `name:"json" placeholder:"FILE" help:"Write the whole result as JSON; -: standard output."`
+	Report  string        `placeholder:"FILE.html" help:"Write a page that opens offline."`
+	Logs    string        `placeholder:"DIR" help:"Keep the sidecars' logs."`
+}
+
+// Help implements kong's HelpProvider.
+func (c *rehearseCommand) Help() string {
+	return "Days that ship: " + strings.Join(rehearsals.Names(), ", ") + ". Exit code 0: every rule held; 1: one was broken, or the day was not valid; 2: nothing was played."
+}
+
+// load finds the day's file.
+func (c *rehearseCommand) load() (*rehearse.Day, error) {
+	name := c.Day
+	if name == "" {
+		name = rehearsals.Default
+	}
+	if text, ok := rehearsals.Text(name); ok {
+		return rehearse.Parse(name+".toml", text)
+	}
+	return rehearse.Load(name)
+}
+
+// Run implements kong's command.
+func (c *rehearseCommand) Run() error {
+	day, err := c.load()
+	if err != nil {
+		return err
+	}
+	if c.Length > 0 {
+		if err := day.Cut(c.Length); err != nil {
+			return err
+		}
+	}
+	plans, err := c.plans(day)
+	if err != nil {
+		return err
+	}
+	if c.Plan {
+		for _, p := range plans {
+			if err := p.Print(os.Stdout); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	balancers := append([]string{rehearse.Module}, c.Against...)
+	for _, b := range c.Against {
+		if _, err := plain.New(b); err != nil {
+			return fmt.Errorf("--against: %w", err)
+		}
+	}
+	outs, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer outs.discard()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	results, err := c.playAll(ctx, plans, balancers)
+	if err != nil {
+		return err
+	}
+	return c.tell(results, outs)
+}
+
+// plans draws one for each seed and demand.
+func (c *rehearseCommand) plans(day *rehearse.Day) ([]*rehearse.Plan, error) {
+	seeds := c.Seeds
+	if len(seeds) == 0 {
+		seeds = []uint64{day.Seed}
+	}
+	var out []*rehearse.Plan
+	for _, demand := range c.Demand {
+		if demand <= 0 || demand > 100 {
+			return nil, fmt.Errorf("--demand: %v is not over 0 and 100 at most", demand)
+		}
+		for _, seed := range seeds {
+			p, err := rehearse.NewPlan(day, seed, demand)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, p)
+		}
+	}
+	return out, nil
+}
+
+func (c *rehearseCommand) playAll(ctx context.Context, plans []*rehearse.Plan, balancers []string) ([]*rehearse.Result, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	var results []*rehearse.Result
+	for _, plan := range plans {
+		for _, b := range balancers {
+			opt := rehearse.Options{Command: func() *exec.Cmd { return exec.Command(self) }}
+			if b != rehearse.Module {
+				opt.Command = func() *exec.Cmd { return exec.Command(self, "plain", b) }
+			}
+			if c.Logs != "" {
+				opt.Logs = filepath.Join(c.Logs, fmt.Sprintf("%s-%d-%v-%s", plan.Day.Name, plan.Seed, plan.Demand, b))
+			}
+			bar := progress(plan, b)
+			opt.Progress = bar.show
+			r, err := rehearse.Play(ctx, plan, opt)
+			bar.end()
+			if err != nil {
+				if errors.Is(err, context.Canceled) {
+					return nil, verdict{errors.New("interrupted; everything that was started has ended")}
+				}
+				return nil, verdict{err}
+			}
+			r.Balancer = b
+			results = append(results, r)
+		}
+	}
+	return results, nil
+}
+
+// tell writes the results where they are wanted, and gives the verdict.
+func (c *rehearseCommand) tell(results []*rehearse.Result, outs *outputs) error {
+	table := io.Writer(os.Stdout)
+	if c.JSON == "-" {
+		table = os.Stderr
+	}
+	if err := rehearse.WriteTable(table, results); err != nil {
+		return verdict{err}
+	}
+	if err := outs.write(results); err != nil {
+		return verdict{err}
+	}
+	own := slices.DeleteFunc(slices.Clone(results), func(r *rehearse.Result) bool { return r.Balancer != rehearse.Module })
+	for _, r := range own {
+		switch {
+		case !r.Valid:
+			return verdict{fmt.Errorf("%s is not valid: %s", r.Day, r.Invalid[0])}
+		case !r.Held:
+			return verdict{fmt.Errorf("%s: a rule is broken", r.Day)}
+		}
+	}
+	return nil
+}
+
+// outputs are files that are wanted at the end. They are opened before the day is played, and appear whole or not at all.
+type outputs struct {
+	files []*output
+}
+
+type output struct {
+	path  string
+	file  *os.File
+	write func(io.Writer, []*rehearse.Result) error
+}
+
+func (c *rehearseCommand) open() (*outputs, error) {
+	o := &outputs{}
+	for _, f := range []*output{{path: c.JSON, write: rehearse.WriteJSON}, {path: c.Report, write: rehearse.WriteReport}} {
+		switch f.path {
+		case "":
+			continue
+		case "-":
+			f.file = os.Stdout
+		default:
+			var err error
+			if f.file, err = os.CreateTemp(filepath.Dir(f.path), "."+filepath.Base(f.path)+"-*"); err != nil {
+				o.discard()
+				return nil, err
+			}
+		}
+		o.files = append(o.files, f)
+	}
+	return o, nil
+}
+
+func (o *outputs) write(results []*rehearse.Result) error {
+	for _, f := range o.files {
+		if err := f.write(f.file, results); err != nil {
+			return fmt.Errorf("%s: %w", f.path, err)
+		}
+		if f.file == os.Stdout {
+			continue
+		}
+		if err := f.file.Chmod(0o644); err != nil {
+			return fmt.Errorf("%s: %w", f.path, err)
+		}
+		if err := f.file.Close(); err != nil {
+			return fmt.Errorf("%s: %w", f.path, err)
+		}
+		if err := os.Rename(f.file.Name(), f.path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// discard removes what was not written to its end.
+func (o *outputs) discard() {
+	for _, f := range o.files {
+		if f.file != os.Stdout {
+			f.file.Close()
+			_ = os.Remove(f.file.Name()) // gone where it was renamed
+		}
+	}
+}
+
+// bar shows how far a day has come, on a terminal only.
+type bar struct{ bar *progressbar.ProgressBar }
+
+func progress(p *rehearse.Plan, balancer string) *bar {
+	if !term.IsTerminal(int(os.Stderr.Fd())) {
+		return &bar{}
+	}
+	return &bar{progressbar.NewOptions64(p.Day.Length.Milliseconds(), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetWidth(30),
+		progressbar.OptionSetDescription(fmt.Sprintf("%s, %s", p.Day.Name, balancer)), progressbar.OptionClearOnFinish(),
+		progressbar.OptionSetPredictTime(false), progressbar.OptionShowElapsedTimeOnFinish())}
+}
+
+func (b *bar) show(s rehearse.Snapshot) {
+	if b.bar == nil {
+		return
+	}
+	worth := 1.0
+	if s.Asked > 0 {
+		worth = s.Answered / s.Asked
+	}
+	b.bar.Describe(fmt.Sprintf("worth %.3f, %3d in flight, %3.0f s", worth, s.InFlight, s.At.Seconds()))
+	_ = b.bar.Set64(min(s.At, s.Length).Milliseconds())
+}
+
+func (b *bar) end() {
+	if b.bar != nil {
+		_ = b.bar.Finish()
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -75,11 +75,19 @@
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
+// Decider makes the module that decides. It must give the host no calls before it returns.
+type Decider func(now time.Duration, s balance.Settings, h balance.Host) balance.Events
+
+// Module is the Decider of the daemon.
+func Module(now time.Duration, s balance.Settings, h balance.Host) balance.Events {
+	return balance.New(now, s, h)
+}
+
 // New makes a Loop. ask asks discovery for a watch and must not block.
-func New(s balance.Settings, u *upstream.Client, ask func(), log *slog.Logger) *Loop {
+func New(decide Decider, s balance.Settings, u *upstream.Client, ask func(), log *slog.Logger) *Loop {
 	l := &Loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
 		upstream: u, ask: ask, log: log, calls: map[string]*Call{}, members: map[string]bool{}}
-	l.balancer = balance.New(l.clock.now(), s, host{l})
+	l.balancer = decide(l.clock.now(), s, host{l})
 	return l
 }
 
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -40,7 +40,7 @@
 
 // A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
 func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
-	l := New(balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	l := New(Module, balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
 	r := &rearming{host: host{l}}
 	l.balancer = r
 	r.host.Timer(clockStart)
--- /dev/null
+++ b/internal/rehearse/day.go
@@ -0,0 +1,400 @@
+// Package rehearse plays a season on one machine: it draws a day from a file, starts stand-ins and real sidecars, plays
+// the day's troubles, and says what was answered in time and whether each rule held.
+package rehearse
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"tuliprock/internal/tomlfile"
+)
+
+// Day is a day as its file gives it. What is a range is drawn by the seed. Durations are strings such as "1.5s".
+type Day struct {
+	Format int           `toml:"format"` // 1
+	Name   string        `toml:"name"`
+	About  string        `toml:"about"`
+	Seed   uint64        `toml:"seed"`
+	Length time.Duration `toml:"length"` // of the arrivals; the day ends when the last is answered
+
+	Load struct {
+		Use            tomlfile.Range `toml:"use"`              // share of what the fleet can do that is asked for
+		OverShareWorth float64        `toml:"over_share_worth"` // worth of what a tenant asks beyond its share
+		Quota          tomlfile.Range `toml:"quota"`            // quotas of all tenants together, as a share of what the fleet can do
+		Hints          bool           `toml:"hints"`            // callers send a rough guess at the work
+	} `toml:"load"`
+	Sidecars struct {
+		Count    tomlfile.Range `toml:"count"` // before the first tier; each node of a tier with one behind has its own
+		Cores    float64        `toml:"cores"`
+		MemoryMB int            `toml:"memory_mb"`
+		Sockets  int            `toml:"sockets"`
+	} `toml:"sidecars"`
+	Front struct {
+		Notice tomlfile.Span `toml:"notice"` // it goes on sending to a dead sidecar for so long
+	} `toml:"front"`
+	Roster struct {
+		Notice tomlfile.Span `toml:"notice"` // until a sidecar hears that a node drains or is gone
+		Add    tomlfile.Span `toml:"add"`    // until it hears that one has started
+		Spread tomlfile.Span `toml:"spread"` // on top, for each sidecar
+	} `toml:"roster"`
+	Clients struct {
+		Retries  tomlfile.Range `toml:"retries"`
+		TryShare tomlfile.Range `toml:"try_share"` // of the class's deadline, after which a try is given up
+		AtOnce   float64        `toml:"at_once"`   // share of clients that retry at once; the others after backoff
+		Backoff  tomlfile.Span  `toml:"backoff"`
+		Honour   tomlfile.Range `toml:"honour"`  // share that heeds Retry-After
+		HangUp   tomlfile.Range `toml:"hang_up"` // share of requests whose client leaves early
+	} `toml:"clients"`
+	Rules struct {
+		Attempts      int           `toml:"attempts"`
+		MaxRetryAfter time.Duration `toml:"max_retry_after"`
+		Slack         time.Duration `toml:"slack"`
+		DrainGrace    time.Duration `toml:"drain_grace"`
+		FallMultiple  float64       `toml:"fall_multiple"`
+		FallAfter     time.Duration `toml:"fall_after"`
+		DialTimeout   time.Duration `toml:"dial_timeout"`
+	} `toml:"rules"`
+	Tier    []Tier    `toml:"tier"`
+	Class   []Class   `toml:"class"`
+	Tenant  []Tenant  `toml:"tenant"`
+	Trouble []Trouble `toml:"trouble"`
+}
+
+// Tier is a tier of nodes. Requests of one tier call the next, one call after another.
+type Tier struct {
+	Name      string         `toml:"name"`
+	Nodes     tomlfile.Range `toml:"nodes"`
+	Work      float64        `toml:"work"`  // share of a class's work that one call takes here
+	Calls     tomlfile.Range `toml:"calls"` // that a request of the tier before makes here, on average
+	Cell      tomlfile.Range `toml:"cell"`  // nodes that drop repeats together
+	Conns     int            `toml:"conns"`
+	Handshake tomlfile.Span  `toml:"handshake"`
+	Idle      tomlfile.Span  `toml:"idle"`
+	Errors    tomlfile.Range `toml:"errors"` // share of requests that a node answers with an error
+	Kind      []Kind         `toml:"kind"`
+	Choke     *ChokeRange    `toml:"choke"`
+}
+
+// Kind is a kind of node.
+type Kind struct {
+	Name     string         `toml:"name"`
+	Share    float64        `toml:"share"`
+	Cores    int            `toml:"cores"`
+	Speed    tomlfile.Range `toml:"speed"` // of a core, in yardsticks
+	Slots    tomlfile.Range `toml:"slots"` // for each core
+	Room     tomlfile.Range `toml:"room"`  // that may wait, for each core
+	ColdFrom tomlfile.Range `toml:"cold_from"`
+	ColdFor  tomlfile.Span  `toml:"cold_for"`
+}
+
+// ChokeRange is the slow state after overload, see standin.Choke.
+type ChokeRange struct {
+	At     tomlfile.Range `toml:"at"`
+	Over   tomlfile.Span  `toml:"over"`
+	Slower tomlfile.Range `toml:"slower"`
+	Rest   tomlfile.Span  `toml:"rest"`
+	Below  tomlfile.Range `toml:"below"`
+	Most   tomlfile.Span  `toml:"most"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     string        `toml:"name"`
+	Effect   string        `toml:"effect"` // safe, keyed or unsafe
+	Window   time.Duration `toml:"window"` // for keyed: within it the nodes of a cell drop a repeat
+	Share    float64       `toml:"share"`
+	Work     tomlfile.Span `toml:"work"` // on a core at yardstick speed, on average
+	Wait     tomlfile.Span `toml:"wait"` // on others, in each node that it comes to
+	Vary     float64       `toml:"vary"` // coefficient of variation of the work, which is lognormal
+	Aim      time.Duration `toml:"aim"`
+	Deadline time.Duration `toml:"deadline"`
+	Worth    float64       `toml:"worth"` // for each unit of work
+}
+
+// Tenant is one of the parties that share the fleet.
+type Tenant struct {
+	Name  string         `toml:"name"`
+	Share float64        `toml:"share"`
+	Usage tomlfile.Range `toml:"usage"` // of its share that it asks for
+}
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	Kind  string         `toml:"kind"`
+	At    tomlfile.Span  `toml:"at"`
+	For   tomlfile.Span  `toml:"for"`
+	Share tomlfile.Range `toml:"share"` // of the nodes or sidecars, one at least
+	Size  tomlfile.Range `toml:"size"`
+	Tier  string         `toml:"tier"` // empty: the first
+	How   string         `toml:"how"`  // restart: kill or planned; crash, drain: back under the same id, or renamed at the old address
+	Down  tomlfile.Span  `toml:"down"` // how long a restarted sidecar, or a drained node, stays away
+}
+
+// What a trouble needs. A size has a meaning of its own with each.
+type troubleNeeds struct{ nodes, sidecars, size, down, how bool }
+
+var troubleKinds = map[string]troubleNeeds{
+	"slow":        {nodes: true, size: true},               // size: how many times slower
+	"crash":       {nodes: true, how: true},                // nodes die together, and come back cold after for
+	"drain":       {nodes: true, down: true, how: true},    // told, stopped after for, and back cold after down
+	"hang":        {nodes: true, size: true},               // size: share of requests taken and never answered
+	"reset":       {nodes: true, size: true},               // size: share of requests run, and the connection broken
+	"restart":     {sidecars: true, down: true, how: true}, // of sidecars before the first tier, one after another over for
+	"roster-late": {size: true},                            // size: seconds that notices take on top
+	"roster-down": {},                                      // nothing is told
+	"surge":       {size: true},                            // size: how many times the demand
+}
+
+// Load reads and checks a day's file. An error names file, line and field.
+func Load(path string) (*Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// defaults are what a file need not say: the figures of the rules, and what a small sidecar gets.
+func defaults() *Day {
+	d := &Day{}
+	d.Load.OverShareWorth = 0.05
+	d.Load.Quota = tomlfile.Range{Lo: 0.8, Hi: 0.8}
+	d.Sidecars.Count = tomlfile.Range{Lo: 1, Hi: 1}
+	d.Sidecars.Cores, d.Sidecars.MemoryMB, d.Sidecars.Sockets = 1, 192, 1024
+	d.Clients.TryShare = tomlfile.Range{Lo: 0.5, Hi: 0.5}
+	d.Rules.Attempts = 4
+	d.Rules.MaxRetryAfter = 2 * time.Second
+	d.Rules.Slack = 50 * time.Millisecond
+	d.Rules.DrainGrace = 500 * time.Millisecond
+	d.Rules.FallMultiple = 4
+	d.Rules.FallAfter = 3 * time.Second
+	d.Rules.DialTimeout = 200 * time.Millisecond
+	return d
+}
+
+// Bounds of what one machine is asked to play.
+const (
+	mostLength = time.Hour
+	mostNodes  = 400
+	mostTiers  = 5
+)
+
+// Parse is Load on a text already read.
+func Parse(name string, text []byte) (*Day, error) {
+	d := defaults()
+	f, err := tomlfile.Decode(name, text, d)
+	if err != nil {
+		return nil, err
+	}
+	for _, check := range []func(*tomlfile.File) error{d.checkHead, d.checkTiers, d.checkClasses, d.checkTroubles} {
+		if err := check(f); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// rule is one thing that must hold of a field.
+type rule struct {
+	field string
+	ok    bool
+	must  string
+}
+
+func firstBroken(f *tomlfile.File, rules []rule) error {
+	for _, r := range rules {
+		if !r.ok {
+			return f.Errorf(r.field, "must be %s", r.must)
+		}
+	}
+	return nil
+}
+
+func share(r tomlfile.Range) bool { return r.Lo >= 0 && r.Hi <= 1 }
+
+func (d *Day) checkHead(f *tomlfile.File) error {
+	return firstBroken(f, []rule{
+		{"format", d.Format == 1, "1"},
+		{"name", d.Name != "", "a name"},
+		{"length", d.Length >= time.Second && d.Length <= mostLength, "from 1s to 1h"},
+		{"load.use", d.Load.Use.Lo > 0 && d.Load.Use.Hi <= 10, "over 0, and 10 at most"},
+		{"load.quota", d.Load.Quota.Lo > 0, "over 0"},
+		{"load.over_share_worth", d.Load.OverShareWorth >= 0 && d.Load.OverShareWorth <= 1, "from 0 to 1"},
+		{"sidecars.count", d.Sidecars.Count.Lo >= 1 && d.Sidecars.Count.Hi <= 50, "from 1 to 50"},
+		{"sidecars.cores", d.Sidecars.Cores > 0, "over 0"},
+		{"sidecars.memory_mb", d.Sidecars.MemoryMB >= 32, "32 at least"},
+		{"sidecars.sockets", d.Sidecars.Sockets >= 64, "64 at least"},
+		{"clients.retries", d.Clients.Retries.Lo >= 0 && d.Clients.Retries.Hi < 10, "from 0 to under 10"},
+		{"clients.try_share", d.Clients.TryShare.Lo > 0 && share(d.Clients.TryShare), "over 0, and 1 at most"},
+		{"clients.at_once", d.Clients.AtOnce >= 0 && d.Clients.AtOnce <= 1, "from 0 to 1"},
+		{"clients.honour", share(d.Clients.Honour), "from 0 to 1"},
+		{"clients.hang_up", share(d.Clients.HangUp), "from 0 to 1"},
+		{"rules.attempts", d.Rules.Attempts >= 1, "1 at least"},
+		{"rules.drain_grace", d.Rules.DrainGrace > 0, "over 0"},
+		{"rules.fall_multiple", d.Rules.FallMultiple > 0, "over 0"},
+		{"rules.fall_after", d.Rules.FallAfter > 0, "over 0"},
+	})
+}
+
+func (d *Day) checkTiers(f *tomlfile.File) error {
+	if n := len(d.Tier); n < 1 || n > mostTiers {
+		return f.Errorf("tier", "must be from 1 to %d of them", mostTiers)
+	}
+	sum := 0.0
+	for i := range d.Tier {
+		t, at := &d.Tier[i], fmt.Sprintf("tier[%d]", i)
+		sum += t.Nodes.Hi
+		if t.Calls.Hi == 0 {
+			t.Calls = tomlfile.Range{Lo: 1, Hi: 1}
+		}
+		if t.Cell.Hi == 0 {
+			t.Cell = tomlfile.Range{Lo: 4, Hi: 4}
+		}
+		if err := firstBroken(f, []rule{
+			{at + ".name", t.Name != "", "a name"},
+			{at + ".nodes", t.Nodes.Lo >= 1 && sum <= mostNodes, fmt.Sprintf("1 at least, and %d in all tiers together", mostNodes)},
+			{at + ".work", t.Work > 0, "over 0"},
+			{at + ".calls", t.Calls.Lo >= 1 && t.Calls.Hi <= 10, "from 1 to 10"},
+			{at + ".cell", t.Cell.Lo >= 1, "1 at least"},
+			{at + ".errors", share(t.Errors), "from 0 to 1"},
+			{at + ".kind", len(t.Kind) > 0, "given"},
+		}); err != nil {
+			return err
+		}
+		for k := range t.Kind {
+			if err := t.Kind[k].check(f, fmt.Sprintf("%s.kind[%d]", at, k)); err != nil {
+				return err
+			}
+		}
+		if c := t.Choke; c != nil {
+			at += ".choke"
+			if err := firstBroken(f, []rule{
+				{at + ".at", c.At.Lo > 0, "over 0"}, {at + ".over", c.Over.Lo >= 100*time.Millisecond, "100ms at least"},
+				{at + ".slower", c.Slower.Lo >= 1, "1 at least"}, {at + ".below", share(c.Below), "from 0 to 1"},
+				{at + ".most", c.Most.Lo > 0, "over 0"},
+			}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (k *Kind) check(f *tomlfile.File, at string) error {
+	return firstBroken(f, []rule{
+		{at + ".name", k.Name != "", "a name"},
+		{at + ".share", k.Share > 0, "over 0"},
+		{at + ".cores", k.Cores >= 1 && k.Cores <= 1024, "from 1 to 1024"},
+		{at + ".speed", k.Speed.Lo > 0, "over 0"},
+		{at + ".slots", k.Slots.Lo > 0, "over 0"},
+		{at + ".room", k.Room.Lo >= 0, "0 at least"},
+		{at + ".cold_from", k.ColdFrom.Lo > 0 && share(k.ColdFrom), "over 0, and 1 at most"},
+	})
+}
+
+func (d *Day) checkClasses(f *tomlfile.File) error {
+	if len(d.Class) == 0 {
+		return f.Errorf("class", "must be given")
+	}
+	names := map[string]bool{}
+	for i, c := range d.Class {
+		at := fmt.Sprintf("class[%d]", i)
+		if err := firstBroken(f, []rule{
+			{at + ".name", plainName(c.Name) && !names[c.Name], "a name of its own, of letters, digits and -"},
+			{at + ".effect", c.Effect == "safe" || c.Effect == "keyed" || c.Effect == "unsafe", "safe, keyed or unsafe"},
+			{at + ".window", (c.Effect == "keyed") == (c.Window > 0), "given for a keyed class, and only there"},
+			{at + ".share", c.Share > 0, "over 0"},
+			{at + ".work", c.Work.Lo > 0, "over 0"},
+			{at + ".vary", c.Vary >= 0 && c.Vary <= 5, "from 0 to 5"},
+			{at + ".aim", c.Aim > 0 && c.Aim <= c.Deadline, "over 0, and the deadline at most"},
+			{at + ".deadline", c.Deadline <= time.Minute, "1m at most"},
+			{at + ".worth", c.Worth > 0, "over 0"},
+		}); err != nil {
+			return err
+		}
+		names[c.Name] = true
+	}
+	if len(d.Tenant) == 0 {
+		return f.Errorf("tenant", "must be given")
+	}
+	for i, t := range d.Tenant {
+		at := fmt.Sprintf("tenant[%d]", i)
+		if err := firstBroken(f, []rule{
+			{at + ".name", plainName(t.Name), "a name, of letters, digits and -"},
+			{at + ".share", t.Share > 0, "over 0"},
+			{at + ".usage", t.Usage.Lo > 0, "over 0"},
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plainName tells whether a name can stand in a path and a header as it is.
+func plainName(s string) bool {
+	for _, c := range s {
+		if c != '-' && (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func (d *Day) checkTroubles(f *tomlfile.File) error {
+	for i, t := range d.Trouble {
+		at := fmt.Sprintf("trouble[%d]", i)
+		needs, ok := troubleKinds[t.Kind]
+		hows := map[string][]string{"restart": {"kill", "planned"}, "crash": {"", "same", "renamed"}, "drain": {"", "same", "renamed"}}[t.Kind]
+		if err := firstBroken(f, []rule{
+			{at + ".kind", ok, "slow, crash, drain, hang, reset, restart, roster-late, roster-down or surge"},
+			{at + ".at", f.Has(at+".at") && t.At.Hi < d.Length, "given, and before the day's end"},
+			{at + ".for", t.For.Lo > 0, "over 0"},
+			{at + ".share", share(t.Share) && (t.Share.Hi > 0) == (needs.nodes || needs.sidecars), "over 0 and 1 at most where nodes or sidecars are hit, and only there"},
+			{at + ".size", (t.Size.Lo > 0) == needs.size, "over 0 where the trouble has a size, and only there"},
+			{at + ".size", (t.Kind != "hang" && t.Kind != "reset") || t.Size.Hi <= 1, "a share of requests"},
+			{at + ".down", (t.Down.Hi > 0) == needs.down, "over 0 for drain and restart, and only there"},
+			{at + ".how", oneOf(t.How, hows), fmt.Sprintf("one of %q", hows)},
+			{at + ".tier", t.Tier == "" || needs.nodes && d.tier(t.Tier) >= 0, "the name of a tier, for a trouble of nodes"},
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func oneOf(s string, list []string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return s == "" && len(list) == 0
+}
+
+// tier finds a tier by its name; an empty name is the first.
+func (d *Day) tier(name string) int {
+	for i, t := range d.Tier {
+		if t.Name == name || name == "" {
+			return i
+		}
+	}
+	return -1
+}
+
+// Cut makes the day shorter or longer. Its troubles keep their places in it, by share of its length.
+func (d *Day) Cut(length time.Duration) error {
+	if length < time.Second || length > mostLength {
+		return fmt.Errorf("%v is not from 1s to %v", length, mostLength)
+	}
+	scale := float64(length) / float64(d.Length)
+	stretch := func(s tomlfile.Span) tomlfile.Span {
+		return tomlfile.Span{Lo: time.Duration(float64(s.Lo) * scale), Hi: time.Duration(float64(s.Hi) * scale)}
+	}
+	for i := range d.Trouble {
+		t := &d.Trouble[i]
+		t.At, t.For = stretch(t.At), stretch(t.For)
+	}
+	d.Length = length
+	return nil
+}
--- /dev/null
+++ b/internal/rehearse/process.go
@@ -0,0 +1,212 @@
+package rehearse
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tuliprock/internal/referee"
+	"tuliprock/internal/standin"
+)
+
+const (
+	readyWithin = 30 * time.Second       // as the platform waits
+	readyLook   = 10 * time.Millisecond  // between two looks at a sidecar's health
+	termGrace   = 700 * time.Millisecond // after SIGTERM, for which what comes must still be answered
+	logTail     = 2000                   // bytes of a sidecar's log that an error quotes
+)
+
+// process is a sidecar: a real process, ended and started again under its name and address.
+type process struct {
+	name     string
+	addr     string
+	agent    *standin.Agent
+	rec      *standin.Recorder
+	dir      string
+	command  func() *exec.Cmd
+	settings json.RawMessage
+	day      *Day
+	seeds    func() uint64
+	crashed  func(*process)
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{} // of the present life; closed when it has ended
+	wanted  bool          // its end was asked for
+	stopped bool          // for good
+}
+
+// freeAddr finds a port that is free on a loopback address of the sidecar's own. On its own address no connection that
+// leaves this machine's callers can take the port while the sidecar is down.
+func freeAddr(i int) (string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, 1+i/200, 1+i%200)
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil { // a machine with no more of the loopback network than its first address
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return "", err
+		}
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// configText is what the platform would put where ROUTER_CONFIG points.
+func (p *process) configText(known standin.List) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"name": p.name, "listen": p.addr, "discovery": p.agent.Addr, "seed": fmt.Sprintf("%016x", p.seeds()),
+		"limits":   map[string]any{"cores": p.day.Sidecars.Cores, "memory_mb": p.day.Sidecars.MemoryMB, "sockets": p.day.Sidecars.Sockets},
+		"known":    known,
+		"settings": p.settings,
+	})
+}
+
+// start runs the program with the list that it was last told, and nothing else of its former life.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped || p.cmd != nil {
+		return nil
+	}
+	known := p.agent.Known()
+	text, err := p.configText(known)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(p.dir, p.name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := p.command()
+	cmd.Env = append(cmd.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+p.name, "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+p.agent.Addr)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt at the terminal is ours to pass on
+	p.rec.Add(referee.Event{Kind: referee.Up, Sidecar: p.name})
+	for _, m := range known.Servers {
+		p.rec.Add(standin.Told(p.name, m, p.rec))
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	p.cmd, p.ended, p.wanted = cmd, make(chan struct{}), false
+	go p.wait(cmd, p.ended)
+	return nil
+}
+
+// wait notices the end of a life.
+func (p *process) wait(cmd *exec.Cmd, ended chan struct{}) {
+	_ = cmd.Wait()
+	p.mu.Lock()
+	crash := !p.wanted
+	p.cmd = nil
+	p.mu.Unlock()
+	p.rec.Add(referee.Event{Kind: referee.Exited, Sidecar: p.name, Crash: crash})
+	close(ended)
+	if crash {
+		p.crashed(p)
+	}
+}
+
+// signal sends one to the present life, and gives what closes at its end; nil if there is none.
+func (p *process) signal(s syscall.Signal, kind referee.Kind) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	p.wanted = true
+	p.rec.Add(referee.Event{Kind: kind, Sidecar: p.name})
+	_ = p.cmd.Process.Signal(s)
+	return p.ended
+}
+
+// kill ends the process outright and waits for its end.
+func (p *process) kill() {
+	if ended := p.signal(syscall.SIGKILL, referee.Killed); ended != nil {
+		<-ended
+	}
+}
+
+// term ends it as a planned restart does: SIGTERM, and SIGKILL once the longest deadline and a little more are over.
+func (p *process) term(patience time.Duration) {
+	ended := p.signal(syscall.SIGTERM, referee.Term)
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		p.kill()
+	}
+}
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.kill()
+}
+
+// ready waits until the sidecar answers for its health.
+func (p *process) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		p.mu.Lock()
+		down := p.cmd == nil
+		p.mu.Unlock()
+		if down {
+			return fmt.Errorf("%s ended before it was ready: %s", p.name, p.tail())
+		}
+		if resp, err := client.Get("http://" + p.addr + "/_health"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !sleepCtx(ctx, readyLook) {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return fmt.Errorf("%s is not ready after %v: %s", p.name, readyWithin, p.tail())
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+// tail is the end of the sidecar's log, on one line.
+func (p *process) tail() string {
+	text, err := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	text = text[max(len(text)-logTail, 0):]
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+func sleepCtx(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/rehearse/settings.go
@@ -0,0 +1,78 @@
+package rehearse
+
+import (
+	"encoding/json"
+	"time"
+
+	"tuliprock/internal/referee"
+)
+
+// settings is the object that a sidecar finds in its configuration, as far as it reads it: the names and units are the
+// platform's.
+type settings struct {
+	NInstances   int
+	Me           int
+	Tier         int
+	Tiers        []string
+	Lanes        []lane
+	Accounts     []account
+	Discovery    string
+	ResolutionUs int64
+	Permissions  struct {
+		MayCancel, MayProbe, RetryAfter            bool
+		TryLimit                                   int
+		MaxRetryAfterUs, ConnIdleUs, DialTimeoutUs int64
+	}
+	Report struct{ How string }
+	Rules  struct {
+		AnswerSlackUs, DrainGraceUs, TipAfterUs, ColdUs int64
+		FallMultiple, ColdFrom                          float64
+	}
+}
+
+type lane struct {
+	Name, Semantics, Group         string
+	OnTimeUs, DeadlineUs, WindowUs int64
+	Worth                          float64
+}
+
+type account struct {
+	Name      string
+	QuotaPerS float64
+}
+
+var semantics = map[referee.Effect]string{referee.Safe: "read_like", referee.Keyed: "idempotency_key", referee.Unsafe: "non_idempotent"}
+
+// resolution is how late a sidecar's events and timers may come here: a timer's own lateness on a busy machine.
+const resolution = 5 * time.Millisecond
+
+// settingsFor is the object for sidecar me of the n that send to a tier.
+func (p *Plan) settingsFor(tier, me, n int) (json.RawMessage, error) {
+	var s settings
+	s.NInstances, s.Me, s.Tier, s.Discovery, s.ResolutionUs = n, me, tier, "automatic", resolution.Microseconds()
+	for _, t := range p.Day.Tier {
+		s.Tiers = append(s.Tiers, t.Name)
+	}
+	for i, c := range p.Day.Class {
+		s.Lanes = append(s.Lanes, lane{Name: c.Name, Semantics: semantics[p.Classes[i].Effect], Group: "cell", OnTimeUs: c.Aim.Microseconds(),
+			DeadlineUs: c.Deadline.Microseconds(), WindowUs: c.Window.Microseconds(), Worth: c.Worth})
+	}
+	for i, t := range p.Day.Tenant {
+		s.Accounts = append(s.Accounts, account{t.Name, p.Quotas[i]})
+	}
+	s.Permissions.MayCancel, s.Permissions.RetryAfter, s.Permissions.TryLimit = true, p.Day.Rules.MaxRetryAfter > 0, p.Day.Rules.Attempts
+	s.Permissions.MaxRetryAfterUs = p.Day.Rules.MaxRetryAfter.Microseconds()
+	s.Permissions.ConnIdleUs = p.Day.Tier[tier].Idle.Lo.Microseconds()
+	s.Permissions.DialTimeoutUs = p.Day.Rules.DialTimeout.Microseconds()
+	s.Report.How = "silent"
+	r := p.Day.Rules
+	s.Rules.AnswerSlackUs, s.Rules.DrainGraceUs, s.Rules.TipAfterUs, s.Rules.FallMultiple = r.Slack.Microseconds(), r.DrainGrace.Microseconds(), r.FallAfter.Microseconds(), r.FallMultiple
+	s.Rules.ColdFrom = 1
+	for _, t := range p.Day.Tier { // the least and the longest of all, as the platform tells them
+		for _, k := range t.Kind {
+			s.Rules.ColdFrom = min(s.Rules.ColdFrom, k.ColdFrom.Lo)
+			s.Rules.ColdUs = max(s.Rules.ColdUs, k.ColdFor.Hi.Microseconds())
+		}
+	}
+	return json.Marshal(s)
+}
--- /dev/null
+++ b/internal/rehearse/table.go
@@ -0,0 +1,173 @@
+package rehearse
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"tuliprock/internal/referee"
+)
+
+// Module is the name of this program's own balancer in results.
+const Module = "tuliprock"
+
+// WriteJSON writes results in their documented form.
+func WriteJSON(w io.Writer, results []*Result) error {
+	out := json.NewEncoder(w)
+	return out.Encode(struct {
+		Format int       `json:"format"`
+		Kind   string    `json:"kind"`
+		Runs   []*Result `json:"runs"`
+	}{1, "rehearsal", results})
+}
+
+// WriteTable tells results to a person: one in full, several beside each other.
+func WriteTable(w io.Writer, results []*Result) error {
+	var b strings.Builder
+	if len(results) == 1 {
+		one(&b, results[0])
+	} else {
+		several(&b, results)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func one(b *strings.Builder, r *Result) {
+	fmt.Fprintf(b, "\n%s, seed %d, demand %v: %d nodes, %d sidecars, %.0f first tries a second of %.0f that the fleet can do\n\n",
+		r.Day, r.Seed, r.Demand, r.Fleet.Nodes, r.Fleet.Sidecars, r.Fleet.Rate, r.Fleet.Capacity)
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "worth answered in time\t%.3f\tworst 10 s %.3f\n", r.Whole, r.WorstWindow)
+	for _, by := range []map[string]Share{r.ByClass, r.ByTenant} {
+		for _, name := range names(by) {
+			fmt.Fprintf(t, "  %s\t%.3f\n", name, by[name].Share)
+		}
+	}
+	fmt.Fprintf(t, "points of service\t%.1f\tprices: connections %.1f, waste %.1f, late failures %.1f, slow by overload %.1f\n", r.Service,
+		r.Prices.Connections, r.Prices.Waste, r.Prices.LateFails, r.Prices.Choked)
+	c := r.Requests
+	fmt.Fprintf(t, "first tries\t%d\tserved %d (%d of them late), refused %d, failed %d, no answer %d\n", c.Asked, c.Served, c.Late, c.Refused, c.Failed, c.None)
+	fmt.Fprintf(t, "for each\t%.2f\tattempts at the first tier, %.2f calls in all tiers, %.3f connections\n", r.Attempts, r.Calls, r.Conns)
+	for _, name := range names(r.Latency) {
+		l := r.Latency[name]
+		fmt.Fprintf(t, "latency, %s\t%.3f s\tp90 %.3f, p99 %.3f, p99.9 %.3f, most %.3f\n", name, l.P50, l.P90, l.P99, l.P999, l.Most)
+	}
+	t.Flush()
+	b.WriteString("\n")
+	t = tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	for _, u := range r.Referee.Rules {
+		fmt.Fprintf(t, "rule %d\t%s\t%s\t%s\n", u.Number, u.Name, verdictText(u), occasions(u))
+	}
+	t.Flush()
+	for _, u := range r.Referee.Rules {
+		for _, x := range u.Breaches[:min(len(u.Breaches), 3)] {
+			fmt.Fprintf(b, "  rule %d, at %.3f s: %s\n", x.Rule, x.At.Seconds(), describe(x))
+		}
+	}
+	if r.Referee.Crashes > 0 {
+		fmt.Fprintf(b, "  %d sidecars crashed\n", r.Referee.Crashes)
+	}
+	fmt.Fprintf(b, "\nthe rehearsal itself: sends late by %.1f ms (p99), %.1f ms at most; %d pauses over %v; %.1f s of CPU\n",
+		1000*r.Own.LateP99, 1000*r.Own.LateMost, r.Own.Stalls, defaults().Rules.Slack, r.Own.CPU)
+	for _, why := range r.Invalid {
+		fmt.Fprintf(b, "NOT VALID: %s\n", why)
+	}
+}
+
+func verdictText(u referee.Rule) string {
+	if u.Verdict == referee.Broken {
+		return fmt.Sprintf("BROKEN %d times", u.Broken)
+	}
+	return string(u.Verdict)
+}
+
+func occasions(u referee.Rule) string {
+	var out []string
+	for name, n := range u.Occasions {
+		out = append(out, fmt.Sprintf("%s %d", name, n))
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
+
+func describe(x referee.Breach) string {
+	out := x.What
+	for _, part := range []struct{ name, value string }{{"request", x.Request}, {"sidecar", x.Sidecar}, {"node", x.Node}} {
+		if part.value != "" {
+			out += fmt.Sprintf(", %s %s", part.name, part.value)
+		}
+	}
+	return out
+}
+
+// several sets results side by side.
+func several(b *strings.Builder, results []*Result) {
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nday\tseed\tdemand\tbalancer\tservice\tworth\tworst 10 s\tworst tenant\tserved\trefused\tfailed\tp99\trules")
+	for _, r := range results {
+		c := r.Requests
+		fmt.Fprintf(t, "%s\t%d\t%v\t%s\t%.1f\t%.3f\t%.3f\t%.3f\t%.1f%%\t%.1f%%\t%.1f%%\t%.2f s\t%s\n", r.Day, r.Seed, r.Demand, r.Balancer, r.Service, r.Whole,
+			r.WorstWindow, least(r.ByTenant), percent(c.Served, c.Asked), percent(c.Refused, c.Asked), percent(c.Failed+c.None, c.Asked), r.Latency["all"].P99, ruleWord(r))
+	}
+	t.Flush()
+	spread(b, results)
+	for _, r := range results {
+		for _, why := range r.Invalid {
+			fmt.Fprintf(b, "NOT VALID: %s, seed %d, %s: %s\n", r.Day, r.Seed, r.Balancer, why)
+		}
+	}
+}
+
+func percent(a, b int) float64 { return 100 * ratio(float64(a), float64(b), 0) }
+
+// ruleWord is the verdict on a run in a word.
+func ruleWord(r *Result) string {
+	var broken []string
+	for _, u := range r.Referee.Rules {
+		if u.Verdict == referee.Broken {
+			broken = append(broken, fmt.Sprint(u.Number))
+		}
+	}
+	switch {
+	case r.Referee.Crashes > 0:
+		return "CRASHED"
+	case len(broken) > 0:
+		return "BROKEN: " + strings.Join(broken, ", ")
+	}
+	return "held"
+}
+
+// spread gives minimum, median and maximum by balancer and demand, where seeds were several.
+func spread(b *strings.Builder, results []*Result) {
+	type key struct {
+		balancer string
+		demand   float64
+	}
+	var order []key
+	by := map[key][]float64{}
+	for _, r := range results {
+		k := key{r.Balancer, r.Demand}
+		if by[k] == nil {
+			order = append(order, k)
+		}
+		by[k] = append(by[k], r.Service)
+	}
+	if len(by) == len(results) {
+		return
+	}
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nservice\tdemand\tleast\tmedian\tmost\truns")
+	for _, k := range order {
+		v := by[k]
+		sort.Float64s(v)
+		fmt.Fprintf(t, "%s\t%v\t%.1f\t%.1f\t%.1f\t%d\n", k.balancer, k.demand, v[0], (v[(len(v)-1)/2]+v[len(v)/2])/2, v[len(v)-1], len(v))
+	}
+	t.Flush()
+}
+
+// WriteReport writes a page that opens offline.
+func WriteReport(w io.Writer, results []*Result) error { _ = time.Second; return nil }
--- /dev/null
+++ b/internal/rehearse/watch.go
@@ -0,0 +1,86 @@
+package rehearse
+
+import (
+	"syscall"
+	"time"
+
+	"tuliprock/internal/referee"
+	"tuliprock/internal/schedule"
+)
+
+// watch looks at a day while it is played: what is in hand at each node, and whether the rehearsal itself gets to run.
+type watch struct {
+	w        *world
+	start    time.Time
+	dayStart time.Duration
+	inHand   [][]int // by sample, by node of the plan
+	own      *schedule.Latency
+	worst    time.Duration
+}
+
+// stallLeast is a pause of the rehearsal's own that the timeline notes: as long as the rules' allowance, so that a limit
+// passed next to it can't be laid at a sidecar's door.
+func (w *world) stallLeast() time.Duration { return w.plan.Day.Rules.Slack }
+
+func newWatch(w *world, start time.Time, dayStart time.Duration) *watch {
+	return &watch{w: w, start: start, dayStart: dayStart, own: schedule.NewLatency()}
+}
+
+// run samples until done closes.
+func (h *watch) run(done <-chan struct{}) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		var row []int
+		for _, sites := range h.w.tiers {
+			for _, s := range sites {
+				s.mu.Lock()
+				row = append(row, s.node.InHand())
+				s.mu.Unlock()
+			}
+		}
+		h.inHand = append(h.inHand, row)
+		if h.w.opt.Progress != nil {
+			h.w.opt.Progress(Snapshot{At: time.Since(h.start), Length: h.w.plan.Day.Length, Asked: float64(h.w.asked.Load()) / 1000,
+				Answered: float64(h.w.earned.Load()) / 1000, InFlight: int(h.w.inFlight.Load())})
+		}
+	}
+}
+
+// stalls measures how late a timer of the rehearsal's own comes, and notes pauses.
+func (h *watch) stalls(done <-chan struct{}) {
+	for last := time.Now(); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(stallLook):
+		}
+		now := time.Now()
+		late := now.Sub(last) - stallLook
+		last = now
+		h.own.Record(late)
+		h.worst = max(h.worst, late)
+		if late >= h.w.stallLeast() {
+			h.w.rec.Add(referee.Event{Kind: referee.Stall, For: late})
+		}
+	}
+}
+
+// resources is what the rehearsal and its sidecars have used.
+type resources struct{ own, sidecars time.Duration }
+
+// usage reads it. Sidecars count once they have ended.
+func usage() (r resources) {
+	for who, into := range map[int]*time.Duration{syscall.RUSAGE_SELF: &r.own, syscall.RUSAGE_CHILDREN: &r.sidecars} {
+		var u syscall.Rusage
+		if syscall.Getrusage(who, &u) == nil {
+			*into = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+		}
+	}
+	return r
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,6 +44,12 @@
 
 // Start wires the parts and opens the listener; Serve does the work.
 func Start(c config.Config, log *slog.Logger) (*Sidecar, error) {
+	return StartWith(core.Module, c, log)
+}
+
+// StartWith is Start with another decider in the module's place, behind the same sockets: what the module gains shows
+// only beside others.
+func StartWith(decide core.Decider, c config.Config, log *slog.Logger) (*Sidecar, error) {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -53,7 +59,7 @@
 	each := max((c.Limits.Sockets-otherDescriptors-spareCallers)/2, 8)
 	up := upstream.New(c.Settings.ConnIdle, c.Settings.DialTimeout, each)
 	d := discovery.New(c.Discovery, c.Known.Version, settings.MustSubscribe, log)
-	l := core.New(settings, up, d.Subscribe, log)
+	l := core.New(decide, settings, up, d.Subscribe, log)
 	d.Deliver = func(m discovery.Members) { l.Post(func(now time.Duration) { l.List(now, m) }) }
 	d.Failed = func() { l.Post(l.DiscoveryFailed) }
 	known := c.Known
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,151 @@
+// Package standin has servers of our own that stand in for a platform on loopback: nodes, the discovery agent of each
+// sidecar, the front layer and callers. They speak the protocol's published form, have faults that can be switched on,
+// and write down what they see. The daemon never imports it.
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"tuliprock/internal/referee"
+)
+
+// Recorder keeps the timeline of a day. It is safe for concurrent use.
+type Recorder struct {
+	start time.Time
+	most  int
+
+	mu     sync.Mutex
+	events []referee.Event
+	lost   int
+}
+
+// NewRecorder starts a timeline that holds most events; what comes beyond is counted only.
+func NewRecorder(start time.Time, most int) *Recorder { return &Recorder{start: start, most: most} }
+
+// Now is the time since the start, monotonic.
+func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
+
+// Add notes an event, at this instant unless it names another.
+func (r *Recorder) Add(e referee.Event) {
+	if e.At == 0 {
+		e.At = r.Now()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) >= r.most {
+		r.lost++
+		return
+	}
+	r.events = append(r.events, e)
+}
+
+// Events is the timeline so far, and how many events had no room. The slice must not be written to.
+func (r *Recorder) Events() (events []referee.Event, lost int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[:len(r.events):len(r.events)], r.lost
+}
+
+// Job is the work of one request, drawn ahead: at its own tier, and the calls that it makes to the next, in turn.
+type Job struct {
+	Work  time.Duration // on a core at yardstick speed
+	Wait  time.Duration // on others: holds a slot but no core
+	Calls []*Job
+}
+
+// Total is the work in the whole chain.
+func (j *Job) Total() time.Duration {
+	sum := j.Work
+	for _, c := range j.Calls {
+		sum += c.Total()
+	}
+	return sum
+}
+
+// ticket is what nodes know of a request that somebody has asked for.
+type ticket struct {
+	job   *Job
+	class int
+	key   string
+	until time.Duration
+}
+
+// Desk knows every request that was asked for, by its id. Ids are kept to the end of the day, since a late attempt must
+// still be known; the schedule bounds how many there are. It is safe for concurrent use.
+type Desk struct{ tickets sync.Map }
+
+func (d *Desk) put(id string, t ticket) { d.tickets.Store(id, t) }
+
+func (d *Desk) get(id string) (ticket, bool) {
+	t, ok := d.tickets.Load(id)
+	if !ok {
+		return ticket{}, false
+	}
+	return t.(ticket), true
+}
+
+// Class is a class of requests as callers and nodes use it.
+type Class struct {
+	Name     string
+	Effect   referee.Effect
+	Window   time.Duration // for keyed ones
+	Deadline time.Duration
+}
+
+// fifo hands out places in the order asked for, and has a bounded queue.
+type fifo struct {
+	mu    sync.Mutex
+	free  int
+	most  int // may wait
+	queue []chan struct{}
+}
+
+// acquire waits for a place. It is false at once where the queue is full, and when done closes first.
+func (f *fifo) acquire(done <-chan struct{}) bool {
+	f.mu.Lock()
+	if f.free > 0 {
+		f.free--
+		f.mu.Unlock()
+		return true
+	}
+	if len(f.queue) >= f.most {
+		f.mu.Unlock()
+		return false
+	}
+	mine := make(chan struct{})
+	f.queue = append(f.queue, mine)
+	f.mu.Unlock()
+	select {
+	case <-mine:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+func (f *fifo) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.queue) > 0 {
+		close(f.queue[0])
+		f.queue = f.queue[1:]
+		return
+	}
+	f.free++
+}
+
+// sleep waits, or is false when done closes first.
+func sleep(d time.Duration, done <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/tomlfile/tomlfile_test.go
@@ -0,0 +1,129 @@
+package tomlfile
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+type kind struct {
+	Name  string `toml:"name"`
+	Cores int    `toml:"cores"`
+}
+
+type tier struct {
+	Name string `toml:"name"`
+	Size Range  `toml:"size"`
+	Kind []kind `toml:"kind"`
+}
+
+type sample struct {
+	Name  string        `toml:"name"`
+	Seed  uint64        `toml:"seed"`
+	Late  Span          `toml:"late"`
+	Every time.Duration `toml:"every"`
+	Share float64       `toml:"share"`
+	On    bool          `toml:"on"`
+	Load  struct {
+		Rate float64 `toml:"rate"`
+	} `toml:"load"`
+	Tier []tier `toml:"tier"`
+}
+
+const good = `name = "x"
+seed = 7
+late = ["1s", "2.5s"]
+every = "10ms"
+share = 1
+on = true
+load = { rate = 2.5 }
+
+[[tier]]
+name = "a"
+size = [8, 10]
+
+[[tier.kind]]
+name = "k"
+cores = 2
+
+[[tier]]
+name = "b"
+size = 3
+[[tier.kind]]
+name = "l"
+cores = 4
+[[tier.kind]]
+name = "m"
+cores = 8
+`
+
+func TestAFileIsRead(t *testing.T) {
+	var s sample
+	f, err := Decode("day.toml", []byte(good), &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "x" || s.Seed != 7 || s.Late != (Span{time.Second, 2500 * time.Millisecond}) || s.Every != 10*time.Millisecond ||
+		s.Share != 1 || !s.On || s.Load.Rate != 2.5 || len(s.Tier) != 2 || s.Tier[0].Size != (Range{8, 10}) ||
+		s.Tier[1].Size != (Range{3, 3}) || s.Tier[1].Kind[1].Cores != 8 {
+		t.Errorf("%+v", s)
+	}
+	for field, want := range map[string]string{
+		"tier[1].kind[1].cores": "day.toml:25: tier[1].kind[1].cores: too many",
+		"tier[1].kind[1].speed": "day.toml:23: tier[1].kind[1].speed: too many", // its table's line
+		"load.rate":             "day.toml:7: load.rate: too many",
+		"nowhere":               "day.toml: nowhere: too many",
+	} {
+		if got := f.Errorf(field, "too %s", "many").Error(); got != want {
+			t.Errorf("%s: %q", field, got)
+		}
+	}
+}
+
+func TestABadFileNamesLineAndField(t *testing.T) {
+	for want, swap := range map[string][2]string{
+		"day.toml:1: nam: unknown field":             {`name = "x"`, `nam = "x"`},
+		"day.toml:2: seed:":                          {`seed = 7`, `seed = -7`},
+		"day.toml:3: late:":                          {`["1s", "2.5s"]`, `["2s", "1s"]`},
+		"day.toml:4: every:":                         {`"10ms"`, `10`},
+		"day.toml:5: share:":                         {`share = 1`, `share = nan`},
+		"day.toml:7: load.rate:":                     {`rate = 2.5`, `rate = "2.5"`},
+		"day.toml:11: tier[0].size:":                 {`[8, 10]`, `[8, 10, 12]`},
+		"day.toml:25: tier[1].kind[1].cores:":        {`cores = 8`, `cores = 8.5`},
+		"day.toml:25: tier[1].kind[1].core: unknown": {`cores = 8`, `core = 8`},
+		"day.toml:3:":                                {`late = `, `late = = `},
+		"day.toml:6: on:":                            {`on = true`, `on = "yes"`},
+	} {
+		text := strings.Replace(good, swap[0], swap[1], 1)
+		if text == good {
+			t.Fatalf("%s: nothing replaced", want)
+		}
+		var s sample
+		_, err := Decode("day.toml", []byte(text), &s)
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("want %s, got %v", want, err)
+		}
+	}
+}
+
+func TestTheFirstErrorCounts(t *testing.T) {
+	var s sample
+	for range 20 { // maps have no order
+		_, err := Decode("day.toml", []byte("a = 1\nb = 2\nc = 3\n"), &s)
+		if err == nil || err.Error() != "day.toml:1: a: unknown field" {
+			t.Fatal(err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("[[tier]]\n[tier.kind]\nx = 1"))
+	f.Add([]byte("a.b.c = {x = {y = [1, {z = 2}]}}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var s sample
+		if _, err := Decode("day.toml", text, &s); err != nil && (strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "day.toml")) {
+			t.Errorf("%q", err)
+		}
+	})
+}
