--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -125,7 +125,14 @@
 	if err := w.ready(); err != nil {
 		return nil, err
 	}
-	return w.play(began)
+	r, err := w.play(began)
+	if err != nil {
+		return nil, err
+	}
+	w.close() // sidecars' use is known once they have ended
+	now := usage()
+	r.Own.SidecarsCPU, r.Own.MemoryMB, r.Own.SidecarMemoryMB = (now.sidecars - began.sidecars).Seconds(), now.ownMB, now.sidecarMB
+	return r, nil
 }
 
 func (w *world) fail(err error) {
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -107,15 +107,17 @@
 
 // Own is how the rehearsal itself fared.
 type Own struct {
-	LateP50      float64 `json:"late_p50_s"` // sends after their due instants
-	LateP99      float64 `json:"late_p99_s"`
-	LateMost     float64 `json:"late_most_s"`
-	TimerP99     float64 `json:"timer_p99_s"`
-	Stalls       int     `json:"stalls"`
-	WorstStall   float64 `json:"worst_stall_s"`
-	CPU          float64 `json:"cpu_s"`
-	SidecarsCPU  float64 `json:"sidecars_cpu_s"`
-	EventsNoRoom int     `json:"events_without_room"`
+	LateP50         float64 `json:"late_p50_s"` // sends after their due instants
+	LateP99         float64 `json:"late_p99_s"`
+	LateMost        float64 `json:"late_most_s"`
+	TimerP99        float64 `json:"timer_p99_s"`
+	Stalls          int     `json:"stalls"`
+	WorstStall      float64 `json:"worst_stall_s"`
+	CPU             float64 `json:"cpu_s"`
+	SidecarsCPU     float64 `json:"sidecars_cpu_s"`
+	MemoryMB        float64 `json:"memory_mb"`         // the most so far, of all days in this run
+	SidecarMemoryMB float64 `json:"sidecar_memory_mb"` // the same, of the largest sidecar
+	EventsNoRoom    int     `json:"events_without_room"`
 }
 
 func ratio(a, b, empty float64) float64 {
