--- /dev/null
+++ b/cmd/tuliprock/command_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The test binary is the program: a rehearsal starts it as its sidecars, with no argument.
+const programEnv = "TULIPROCK_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programEnv) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func program(args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), programEnv+"=1")
+	return cmd
+}
+
+// tinyDay has one node and nothing that goes wrong.
+const tinyDay = `format = 1
+name = "tiny"
+seed = 1
+length = "2s"
+[load]
+use = 0.3
+quota = 5
+[[tier]]
+name = "front"
+nodes = 2
+work = 1
+  [[tier.kind]]
+  name = "k"
+  share = 1
+  cores = 2
+  speed = 1
+  slots = 20
+  room = 5
+  cold_from = 0.3
+[[class]]
+name = "look"
+effect = "safe"
+share = 1
+work = "20ms"
+aim = "1s"
+deadline = "2s"
+worth = 1
+[[tenant]]
+name = "t"
+share = 1
+usage = 1
+`
+
+func tiny(t *testing.T, change ...string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "tiny.toml")
+	text := strings.NewReplacer(change...).Replace(tinyDay)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func run(t *testing.T, cmd *exec.Cmd) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), out.String(), errs.String()
+}
+
+func TestARehearsalGivesItsResult(t *testing.T) {
+	dir := t.TempDir()
+	report, result := filepath.Join(dir, "r.html"), filepath.Join(dir, "r.json")
+	code, out, errs := run(t, program("rehearse", tiny(t), "--json", result, "--report", report))
+	if code != 0 || !strings.Contains(out, "rule 1") || errs != "" {
+		t.Fatalf("%d\n%s\n%s", code, out, errs)
+	}
+	text, err := os.ReadFile(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r struct {
+		Format int
+		Kind   string
+		Runs   []struct {
+			Held, Valid bool
+			Whole       float64
+			Requests    struct{ Asked, Served int }
+			Referee     struct{ Rules []struct{ Verdict string } }
+		}
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Format != 1 || r.Kind != "rehearsal" || len(r.Runs) != 1 || !r.Runs[0].Held || r.Runs[0].Whole < 0.9 || r.Runs[0].Requests.Asked < 50 ||
+		r.Runs[0].Referee.Rules[0].Verdict != "held" || r.Runs[0].Referee.Rules[3].Verdict != "not put to the test" {
+		t.Errorf("%+v", r)
+	}
+	page, err := os.ReadFile(report)
+	if err != nil || !strings.Contains(string(page), "<svg") || strings.Contains(string(page), "http") {
+		t.Errorf("the page is not whole, or loads something: %v", err)
+	}
+	left, _ := filepath.Glob(filepath.Join(dir, ".*"))
+	if len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
+func TestBadUsageStartsNothing(t *testing.T) {
+	bad := tiny(t, "cores = 2", "cores = 0")
+	for name, c := range map[string]struct {
+		args []string
+		want string
+	}{
+		"a bad day":           {[]string{"rehearse", bad}, ":15: tier[0].kind[0].cores: must be"},
+		"no such day":         {[]string{"rehearse", "nowhere.toml"}, "nowhere.toml"},
+		"an unknown picker":   {[]string{"rehearse", "--against", "best"}, "--against"},
+		"an unknown command":  {[]string{"rehearsal"}, "unexpected argument"},
+		"an unknown flag":     {[]string{"rehearse", "--loud"}, "--loud"},
+		"no demand":           {[]string{"rehearse", "--demand", "0"}, "--demand"},
+		"no such folder":      {[]string{"rehearse", "--json", "/nowhere/r.json"}, "/nowhere"},
+		"a length of nothing": {[]string{"rehearse", "--length", "1ms"}, "1ms"},
+	} {
+		code, out, errs := run(t, program(c.args...))
+		if code != 2 || out != "" || !strings.Contains(errs, c.want) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: %d, %q, %q", name, code, out, errs)
+		}
+	}
+}
+
+func TestAPlanIsPrintedAndNotPlayed(t *testing.T) {
+	path := tiny(t)
+	code, first, _ := run(t, program("rehearse", path, "--plan"))
+	_, again, _ := run(t, program("rehearse", path, "--plan"))
+	_, other, _ := run(t, program("rehearse", path, "--plan", "--seed", "2"))
+	if code != 0 || first != again || first == other || strings.Count(first, "\n") < 50 {
+		t.Errorf("%d, same %v, %d lines", code, first == again, strings.Count(first, "\n"))
+	}
+}
+
+// The day is played, and its result has nowhere to go: one clear line, and a code that says so.
+func TestAFullDiskIsSaid(t *testing.T) {
+	if _, err := os.Stat("/dev/full"); err != nil {
+		t.Skip("no /dev/full here")
+	}
+	code, _, errs := run(t, program("rehearse", tiny(t), "--json", "/dev/full"))
+	if code != 1 || !strings.Contains(errs, "no space left") || strings.Count(errs, "\n") != 1 {
+		t.Errorf("%d %q", code, errs)
+	}
+}
+
+func TestAnInterruptEndsEverything(t *testing.T) {
+	logs := t.TempDir()
+	cmd := program("rehearse", tiny(t, `"2s"`, `"60s"`), "--logs", logs)
+	var errs strings.Builder
+	cmd.Stderr = &errs
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		found, _ := filepath.Glob(filepath.Join(logs, "*", "sidecar-1.log"))
+		if len(found) > 0 {
+			if text, _ := os.ReadFile(found[0]); strings.Contains(string(text), "listening") {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("never started")
+		}
+	}
+	if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Wait()
+	if cmd.ProcessState.ExitCode() != 1 || errs.String() != "tuliprock: interrupted; everything that was started has ended\n" {
+		t.Errorf("%d %q", cmd.ProcessState.ExitCode(), errs.String())
+	}
+}
+
+func TestWithNoArgumentItIsTheDaemon(t *testing.T) {
+	cmd := program()
+	cmd.Env = append(cmd.Env, "ROUTER_CONFIG=")
+	if code, _, errs := run(t, cmd); code != 1 || errs != "tuliprock: ROUTER_CONFIG: not set\n" {
+		t.Errorf("%d %q", code, errs)
+	}
+	if code, _, errs := run(t, program("plain", "best")); code != 2 || !strings.Contains(errs, "random") {
+		t.Errorf("%d %q", code, errs)
+	}
+}
--- a/cmd/tuliprock/rehearse.go
+++ b/cmd/tuliprock/rehearse.go
@@ -180,23 +180,51 @@
 type output struct {
 	path  string
 	file  *os.File
+	whole bool // file is a temporary one, to be renamed
 	write func(io.Writer, []*rehearse.Result) error
 }
 
+// open makes a file beside the one wanted, so that a half-written one is never found there. What is no ordinary file is
+// written to as it is.
+func (f *output) open() (err error) {
+	if f.path == "-" {
+		f.file = os.Stdout
+		return nil
+	}
+	if info, err := os.Stat(f.path); err == nil && !info.Mode().IsRegular() {
+		f.file, err = os.OpenFile(f.path, os.O_WRONLY, 0)
+		return err
+	}
+	f.whole = true
+	f.file, err = os.CreateTemp(filepath.Dir(f.path), "."+filepath.Base(f.path)+"-*")
+	return err
+}
+
+// finish puts the file in its place.
+func (f *output) finish() error {
+	if f.file == os.Stdout {
+		return nil
+	}
+	if f.whole {
+		if err := f.file.Chmod(0o644); err != nil {
+			return err
+		}
+	}
+	if err := f.file.Close(); err != nil || !f.whole {
+		return err
+	}
+	return os.Rename(f.file.Name(), f.path)
+}
+
 func (c *rehearseCommand) open() (*outputs, error) {
 	o := &outputs{}
 	for _, f := range []*output{{path: c.JSON, write: rehearse.WriteJSON}, {path: c.Report, write: rehearse.WriteReport}} {
-		switch f.path {
-		case "":
+		if f.path == "" {
 			continue
-		case "-":
-			f.file = os.Stdout
-		default:
-			var err error
-			if f.file, err = os.CreateTemp(filepath.Dir(f.path), "."+filepath.Base(f.path)+"-*"); err != nil {
-				o.discard()
-				return nil, err
-			}
+		}
+		if err := f.open(); err != nil {
+			o.discard()
+			return nil, err
 		}
 		o.files = append(o.files, f)
 	}
@@ -208,18 +236,9 @@
 		if err := f.write(f.file, results); err != nil {
 			return fmt.Errorf("%s: %w", f.path, err)
 		}
-		if f.file == os.Stdout {
-			continue
-		}
-		if err := f.file.Chmod(0o644); err != nil {
-			return fmt.Errorf("%s: %w", f.path, err)
-		}
-		if err := f.file.Close(); err != nil {
+		if err := f.finish(); err != nil {
 			return fmt.Errorf("%s: %w", f.path, err)
 		}
-		if err := os.Rename(f.file.Name(), f.path); err != nil {
-			return err
-		}
 	}
 	return nil
 }
@@ -227,7 +246,7 @@
 // discard removes what was not written to its end.
 func (o *outputs) discard() {
 	for _, f := range o.files {
-		if f.file != os.Stdout {
+		if f.whole {
 			f.file.Close()
 			_ = os.Remove(f.file.Name()) // gone where it was renamed
 		}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -347,6 +347,9 @@
 		defer func() {
 			n.idle(nc)
 			answered <- !over
+			if over {
+				nc.Close()
+			}
 		}()
 		defer l.hand.Add(-1)
 		l.wants.Add(1)
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,657 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"tuliprock/internal/referee"
+	"tuliprock/internal/testpeer"
+)
+
+const (
+	look = iota
+	book
+)
+
+var classes = []Class{{"look", referee.Safe, 0, 3 * time.Second}, {"book", referee.Keyed, 200 * time.Millisecond, 3 * time.Second}}
+
+// Whatever a stand-in starts must end with it.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is one node, and what it takes to call it.
+type bench struct {
+	*Node
+	desk *Desk
+	rec  *Recorder
+	n    int
+}
+
+func newBench(t *testing.T, change func(*NodeSpec)) *bench {
+	t.Helper()
+	spec := NodeSpec{ID: "n1", Cores: 1, Speed: 1, Slots: 1, Room: 1}
+	if change != nil {
+		change(&spec)
+	}
+	b := &bench{desk: &Desk{}, rec: NewRecorder(time.Now(), 10000)}
+	b.Node = NewNode(spec, classes, NewCell(200*time.Millisecond), b.desk, b.rec, 1)
+	if _, err := b.Start(false); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Stop)
+	return b
+}
+
+// write sends a request on a connection.
+func (b *bench) write(t *testing.T, nc net.Conn, class int, key string, work time.Duration) (id string) {
+	t.Helper()
+	b.n++
+	id = fmt.Sprint("r", b.n)
+	b.desk.put(id, ticket{job: &Job{Work: work}, class: class, key: key})
+	if _, err := io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: h\r\nReq-Id: "+id+"\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+func (b *bench) dial(t *testing.T) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", b.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetReadDeadline(time.Now().Add(testpeer.Patience))
+	return nc
+}
+
+func read(t *testing.T, nc net.Conn) (status int, declined bool, body string) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get("Srv-Declined") == "1", string(text)
+}
+
+// count is how many events of a kind there are for a request; an empty id is any.
+func (b *bench) count(kind referee.Kind, id string) (n int) {
+	events, _ := b.rec.Events()
+	for _, e := range events {
+		if e.Kind == kind && (id == "" || e.Request == id) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestANodeServes(t *testing.T) {
+	b := newBench(t, nil)
+	nc := b.dial(t)
+	for range 3 { // on one connection
+		id := b.write(t, nc, look, "", time.Millisecond)
+		if status, _, body := read(t, nc); status != 200 || body != id+" n1\n" {
+			t.Errorf("%d %q", status, body)
+		}
+		if b.count(referee.Sent, id) != 1 || b.count(referee.Began, id) != 1 || b.count(referee.Done, id) != 1 || b.count(referee.Dropped, id) != 0 {
+			t.Error("the timeline lacks something")
+		}
+	}
+	if b.Opened() != 1 {
+		t.Errorf("%d connections", b.Opened())
+	}
+	io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: h\r\nReq-Id: ghost\r\n\r\n")
+	if status, _, _ := read(t, nc); status != 400 || b.count(referee.Sent, "ghost") != 1 {
+		t.Errorf("an id that nobody asked with: %d", status)
+	}
+}
+
+func TestAFullNodeTurnsAway(t *testing.T) {
+	b := newBench(t, nil) // one slot, one may wait
+	var lines []net.Conn
+	for range 2 {
+		nc := b.dial(t)
+		lines = append(lines, nc)
+		n := b.count(referee.Sent, "")
+		b.write(t, nc, look, "", 300*time.Millisecond)
+		testpeer.Until(t, "taken", func() bool { return b.count(referee.Sent, "") > n })
+		testpeer.Until(t, "in hand", func() bool { return b.InHand() > n })
+	}
+	third := b.dial(t)
+	testpeer.Until(t, "one waits", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.life.slots.mu.Lock()
+		defer b.life.slots.mu.Unlock()
+		return len(b.life.slots.queue) == 1
+	})
+	id := b.write(t, third, look, "", time.Millisecond)
+	if status, declined, _ := read(t, third); status != 503 || !declined || b.count(referee.Declined, id) != 1 || b.count(referee.Began, id) != 0 {
+		t.Errorf("%d, declined %v", status, declined)
+	}
+	for _, nc := range lines {
+		if status, _, _ := read(t, nc); status != 200 {
+			t.Errorf("one that was taken: %d", status)
+		}
+	}
+}
+
+func TestADrainingNodeFinishesAndTurnsAway(t *testing.T) {
+	b := newBench(t, func(s *NodeSpec) { s.Slots = 5 })
+	first, second := b.dial(t), b.dial(t)
+	id := b.write(t, first, look, "", 50*time.Millisecond)
+	testpeer.Until(t, "begun", func() bool { return b.count(referee.Began, id) == 1 })
+	b.Drain()
+	b.write(t, second, look, "", time.Millisecond)
+	if status, declined, _ := read(t, second); status != 503 || !declined {
+		t.Errorf("new: %d, declined %v", status, declined)
+	}
+	if status, _, _ := read(t, first); status != 200 {
+		t.Errorf("in hand: %d", status)
+	}
+}
+
+func TestTooManyConnectionsAreTurnedAway(t *testing.T) {
+	b := newBench(t, func(s *NodeSpec) { s.Conns = 1 })
+	first := b.dial(t)
+	b.write(t, first, look, "", time.Millisecond)
+	read(t, first)
+	second := b.dial(t)
+	b.write(t, second, look, "", time.Millisecond)
+	if status, declined, _ := read(t, second); status != 503 || !declined {
+		t.Errorf("%d, declined %v", status, declined)
+	}
+	if _, err := second.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("it stays: %v", err)
+	}
+}
+
+func TestAnIdleConnectionIsClosed(t *testing.T) {
+	b := newBench(t, func(s *NodeSpec) { s.IdleFor = 30 * time.Millisecond })
+	nc := b.dial(t)
+	b.write(t, nc, look, "", 60*time.Millisecond) // longer than that at work is not idle
+	if status, _, _ := read(t, nc); status != 200 {
+		t.Errorf("%d", status)
+	}
+	if _, err := nc.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("idle: %v", err)
+	}
+	if b.count(referee.Dropped, "") != 0 {
+		t.Error("the other side is blamed for it")
+	}
+}
+
+func TestRepeatsAreDroppedInTheWindow(t *testing.T) {
+	b := newBench(t, nil)
+	nc := b.dial(t)
+	began := func(id string) (effects, repeats int) {
+		events, _ := b.rec.Events()
+		for _, e := range events {
+			if e.Kind == referee.Began && e.Request == id && e.Repeat {
+				repeats++
+			} else if e.Kind == referee.Began && e.Request == id {
+				effects++
+			}
+		}
+		return
+	}
+	for i, row := range []struct {
+		class   int
+		key     string
+		repeats int
+	}{{book, "k", 0}, {book, "k", 1}, {book, "l", 0}, {look, "k", 0}} {
+		id := b.write(t, nc, row.class, row.key, time.Millisecond)
+		read(t, nc)
+		if effects, repeats := began(id); repeats != row.repeats || effects != 1-row.repeats {
+			t.Errorf("request %d: %d effects, %d repeats", i, effects, repeats)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCell(time.Second)
+		c.repeat("k", time.Now())
+		time.Sleep(time.Second)
+		if !c.repeat("k", time.Now()) {
+			t.Error("forgotten at the end of the window")
+		}
+		time.Sleep(time.Nanosecond)
+		if c.repeat("k", time.Now()) {
+			t.Error("remembered after it")
+		}
+		for i := range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			c.repeat(fmt.Sprint(i), time.Now())
+		}
+		if len(c.seen) > 202 {
+			t.Errorf("%d keys are held for two windows of 100", len(c.seen))
+		}
+	})
+}
+
+func TestACallerThatLeavesIsSeenAndStopsNothing(t *testing.T) {
+	b := newBench(t, nil)
+	nc := b.dial(t)
+	id := b.write(t, nc, look, "", 50*time.Millisecond)
+	testpeer.Until(t, "begun", func() bool { return b.count(referee.Began, id) == 1 })
+	nc.Close()
+	testpeer.Until(t, "seen", func() bool { return b.count(referee.Dropped, id) == 1 })
+	testpeer.Until(t, "done all the same", func() bool { return b.count(referee.Done, id) == 1 })
+}
+
+func TestFaults(t *testing.T) {
+	b := newBench(t, nil)
+	b.Hang(1)
+	nc := b.dial(t)
+	id := b.write(t, nc, look, "", time.Millisecond)
+	testpeer.Until(t, "taken", func() bool { return b.count(referee.Sent, id) == 1 })
+	nc.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+	if _, err := nc.Read(make([]byte, 1)); err == nil || b.count(referee.Began, id) != 0 {
+		t.Errorf("a node that hangs: %v", err)
+	}
+	nc.Close()
+	testpeer.Until(t, "dropped", func() bool { return b.count(referee.Dropped, id) == 1 })
+	b.Hang(0)
+	b.Reset(1)
+	nc = b.dial(t)
+	id = b.write(t, nc, look, "", time.Millisecond)
+	if _, err := nc.Read(make([]byte, 1)); err == nil || b.count(referee.Began, id) != 1 {
+		t.Errorf("a node that resets: %v", err)
+	}
+	b.Reset(0)
+	b.Slow(4)
+	nc = b.dial(t)
+	began := time.Now()
+	b.write(t, nc, look, "", 50*time.Millisecond)
+	if status, _, _ := read(t, nc); status != 200 || time.Since(began) < 200*time.Millisecond {
+		t.Errorf("four times slower: %d after %v", status, time.Since(began))
+	}
+}
+
+func TestACrashResetsAndAStartTakesTheOldAddress(t *testing.T) {
+	b := newBench(t, nil)
+	nc := b.dial(t)
+	b.write(t, nc, look, "", time.Minute)
+	testpeer.Until(t, "begun", func() bool { return b.count(referee.Began, "") == 1 })
+	addr := b.Addr
+	b.Stop()
+	if _, err := nc.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "EOF") {
+		t.Errorf("no reset: %v", err)
+	}
+	if nc, err := net.Dial("tcp", addr); err == nil {
+		nc.Close()
+		t.Error("it still takes connections")
+	}
+	if _, err := b.Start(true); err != nil || b.Addr != addr || !b.Up() {
+		t.Errorf("%v, at %s instead of %s", err, b.Addr, addr)
+	}
+}
+
+func TestACapacityRisesEvenly(t *testing.T) {
+	for since, want := range map[time.Duration]float64{0: 0.4, 2: 0.7, 4: 1, 9: 1} {
+		if got := warmth(0.4, 4*time.Second, since*time.Second); math.Abs(got-want) > 1e-9 {
+			t.Errorf("after %d s: %v, want %v", since, got, want)
+		}
+	}
+}
+
+// What the node falls under must be what the referee calls too much.
+func TestANodeFallsWhereTheRefereeSaysSo(t *testing.T) {
+	rules := referee.Rules{Classes: []referee.Class{{Name: "look"}}, FallMultiple: 4, FallAfter: 3 * time.Second, FallSlack: FallSlack}
+	for _, n := range []int{10, 60} {
+		b := newBench(t, func(s *NodeSpec) {
+			s.Slots, s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 100, 0.3, time.Minute, 4, 3*time.Second
+		})
+		b.Stop()
+		if _, err := b.Start(true); err != nil {
+			t.Fatal(err)
+		}
+		b.rec.Add(referee.Event{Kind: referee.Up, Sidecar: "s"})
+		m := Member{ID: "n1", State: StateReady, StartedMs: time.Now().Add(time.Second).UnixMilli()}
+		b.rec.Add(Told("s", m, b.rec))
+		for range n { // 0.1 s of work each: at 0.3 of one core about 4 s can be borne
+			nc, err := net.Dial("tcp", b.Addr)
+			if err != nil {
+				break // it has fallen
+			}
+			defer nc.Close()
+			id := fmt.Sprint("r", b.n+1)
+			b.rec.Add(referee.Event{Kind: referee.Asked, Request: id, Sidecar: "s"})
+			b.write(t, nc, look, "", 100*time.Millisecond)
+			testpeer.Until(t, "taken", func() bool { return b.count(referee.Sent, id) == 1 })
+		}
+		fell := n == 60
+		if fell {
+			testpeer.Until(t, "down", func() bool { return !b.Up() })
+			if _, err := b.Start(true); err == nil {
+				t.Error("it comes back")
+			}
+		}
+		events, _ := b.rec.Events()
+		r := referee.Judge(rules, events)
+		if got := r.Rules[3].Verdict == referee.Broken; got != fell || b.Up() == fell || (r.Falls > 0) != fell {
+			t.Errorf("%d requests: up %v, rule %s, %d falls", n, b.Up(), r.Rules[3].Verdict, r.Falls)
+		}
+	}
+}
+
+func TestOverloadMakesANodeSlowUntilItRests(t *testing.T) {
+	b := newBench(t, func(s *NodeSpec) {
+		s.Slots = 100
+		s.Choke = &Choke{At: 2, Over: 200 * time.Millisecond, Slower: 3, Rest: 200 * time.Millisecond, Below: 0.5, Most: time.Minute}
+	})
+	for range 20 {
+		b.write(t, b.dial(t), look, "", 30*time.Millisecond)
+	}
+	testpeer.Until(t, "slow", func() bool { return b.Choked() })
+	if got := b.pace(b.life); got != 1.0/3 {
+		t.Errorf("pace %v", got)
+	}
+	testpeer.Until(t, "as before", func() bool { return b.pace(b.life) == 1 })
+	if b.count(referee.Done, "") != 20 {
+		t.Error("it got well before it had rested")
+	}
+}
+
+func TestPlacesAreGivenInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		free, most, n := rapid.IntRange(1, 4).Draw(t, "free"), rapid.IntRange(0, 4).Draw(t, "most"), rapid.IntRange(1, 12).Draw(t, "n")
+		f := &fifo{free: free, most: most}
+		got := make(chan int, n)
+		var all sync.WaitGroup
+		refused := 0
+		for i := range n {
+			f.mu.Lock()
+			waits := f.free == 0
+			room := len(f.queue) < f.most
+			before := len(f.queue)
+			f.mu.Unlock()
+			if waits && !room {
+				if f.acquire(nil) {
+					t.Fatal("more wait than may")
+				}
+				refused++
+				continue
+			}
+			all.Go(func() {
+				if f.acquire(nil) {
+					got <- i
+				}
+			})
+			for waits { // until it stands in line, so that the order is known
+				f.mu.Lock()
+				in := len(f.queue) > before
+				f.mu.Unlock()
+				if in {
+					break
+				}
+			}
+			if !waits {
+				if <-got != i {
+					t.Fatal("not at once")
+				}
+			}
+		}
+		last := -1
+		for range min(n, free+most) - min(n, free) {
+			f.release()
+			if i := <-got; i < last {
+				t.Fatalf("%d after %d", i, last)
+			} else {
+				last = i
+			}
+		}
+		all.Wait()
+		if refused != max(n-free-most, 0) {
+			t.Fatalf("%d refused", refused)
+		}
+	})
+}
+
+// roster is an agent with one member and a watch on it.
+func roster(t *testing.T) (*Agent, *Recorder) {
+	t.Helper()
+	rec := NewRecorder(time.Now(), 1000)
+	a, err := NewAgent("s1", []Member{{ID: "a", Addr: "127.0.0.1:1", State: StateReady, Weight: 1}}, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close() })
+	return a, rec
+}
+
+func get(t *testing.T, a *Agent, query string) *bufio.Reader {
+	t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + a.Addr + "/catalog/members" + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return bufio.NewReader(resp.Body)
+}
+
+func message(t *testing.T, in *bufio.Reader) (l List) {
+	t.Helper()
+	for {
+		text, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+}
+
+func TestAnAgentTellsWhatChanges(t *testing.T) {
+	a, rec := roster(t)
+	if l := message(t, get(t, a, "")); !l.Full || l.Version != 1 || len(l.Servers) != 1 || l.Servers[0].ID != "a" {
+		t.Errorf("the whole list: %+v", l)
+	}
+	watch := get(t, a, "?watch=1&after=1")
+	if l := message(t, watch); l.Full || len(l.Servers) != 0 {
+		t.Errorf("nothing has changed: %+v", l)
+	}
+	a.Send(Member{ID: "b", Addr: "127.0.0.1:2", State: StateReady})
+	if l := message(t, watch); l.Full || l.Version != 2 || len(l.Servers) != 1 || l.Servers[0].ID != "b" {
+		t.Errorf("one more: %+v", l)
+	}
+	a.Send(Member{ID: "a", State: StateGone})
+	message(t, watch)
+	if l := message(t, get(t, a, "?watch=1&after=0")); !l.Full || len(l.Servers) != 1 || l.Servers[0].ID != "b" {
+		t.Errorf("from too far back: %+v", l)
+	}
+	if l := message(t, get(t, a, "?watch=1&after=2")); l.Full || len(l.Servers) != 1 || l.Servers[0].State != StateGone {
+		t.Errorf("resumed: %+v", l)
+	}
+	if l := a.Known(); len(l.Servers) != 1 || l.Servers[0].ID != "b" {
+		t.Errorf("what the sidecar knows: %+v", l)
+	}
+	testpeer.Until(t, "told that a is gone", func() bool {
+		events, _ := rec.Events()
+		for _, e := range events {
+			if e.Kind == referee.Told && e.Node == "a" && e.State == referee.Gone && e.Sidecar == "s1" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestAnAgentIsSilentWhileDiscoveryIsDown(t *testing.T) {
+	a, rec := roster(t)
+	watch := get(t, a, "?watch=1&after=1")
+	message(t, watch)
+	a.Down(true)
+	a.Send(Member{ID: "a", State: StateDraining})
+	came := make(chan List, 1)
+	go func() { came <- message(t, watch) }()
+	select {
+	case l := <-came:
+		t.Fatalf("told while down: %+v", l)
+	case <-time.After(50 * time.Millisecond):
+	}
+	events, _ := rec.Events()
+	for _, e := range events {
+		if e.Kind == referee.Told && e.State == referee.Draining {
+			t.Error("noted as told while down")
+		}
+	}
+	a.Down(false)
+	if l := <-came; len(l.Servers) != 1 || l.Servers[0].State != StateDraining {
+		t.Errorf("afterwards: %+v", l)
+	}
+}
+
+// A sidecar that does not listen must not pass for one that can't know.
+func TestWhatIsNotFetchedCountsAsToldInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rec := NewRecorder(time.Now(), 100)
+		a := &Agent{Sidecar: "s1", rec: rec, version: 1, members: map[string]Member{}, news: make(chan struct{})}
+		a.Send(Member{ID: "a", State: StateDraining})
+		time.Sleep(toldAfter - time.Nanosecond)
+		synctest.Wait()
+		if events, _ := rec.Events(); len(events) != 0 {
+			t.Error("too early")
+		}
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		if events, _ := rec.Events(); len(events) != 1 || events[0].Kind != referee.Told {
+			t.Errorf("%+v", events)
+		}
+	})
+}
+
+// sidecarThat answers each connection's requests by a script of bytes; "CLOSE" ends the connection.
+func sidecarThat(t *testing.T, answers ...string) (connect func() (string, string, bool), served *testpeer.Endpoint) {
+	t.Helper()
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, n int) bool {
+		if n > len(answers) {
+			return false
+		}
+		text, ends := strings.CutSuffix(answers[n-1], "CLOSE")
+		io.WriteString(nc, strings.ReplaceAll(text, "ID", r.Header.Get("Req-Id")))
+		return !ends
+	})
+	return func() (string, string, bool) { return "s1", e.Addr, true }, e
+}
+
+func TestACallerSeesHowATryEnds(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nID n1"
+	for _, c := range []struct {
+		name   string
+		says   string
+		status int
+		kinds  []referee.Kind
+		hangUp time.Duration
+	}{
+		{"served", ok, 200, []referee.Kind{referee.Asked, referee.Answered}, 0},
+		{"refused", "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.25\r\nContent-Length: 0\r\n\r\n", 503, []referee.Kind{referee.Asked, referee.Answered}, 0},
+		{"answered twice", ok + ok, 200, []referee.Kind{referee.Asked, referee.Answered, referee.Extra}, 0},
+		{"cut", ok[:len(ok)-3] + "CLOSE", 0, []referee.Kind{referee.Asked, referee.Lost}, 0},
+		{"closed", "CLOSE", 0, []referee.Kind{referee.Asked, referee.Lost}, 0},
+		{"silence", "", 0, []referee.Kind{referee.Asked, referee.Unanswered}, 0},
+		{"hung up", "", 0, []referee.Kind{referee.Asked, referee.Left}, 20 * time.Millisecond},
+	} {
+		connect, _ := sidecarThat(t, c.says)
+		rec := NewRecorder(time.Now(), 100)
+		caller := NewCaller(classes, &Desk{}, rec, 50*time.Millisecond, 4)
+		out := caller.Try(Try{ID: "ab", Class: look, Job: &Job{}, Wait: 200 * time.Millisecond, HangUp: c.hangUp, Connect: connect})
+		caller.Close()
+		events, _ := rec.Events()
+		var kinds []referee.Kind
+		for _, e := range events {
+			kinds = append(kinds, e.Kind)
+		}
+		if out.Status != c.status || fmt.Sprint(kinds) != fmt.Sprint(c.kinds) || !out.Dialed || out.Left != (c.hangUp > 0) {
+			t.Errorf("%s: %+v, %v", c.name, out, kinds)
+		}
+		if c.name == "refused" && out.RetryAfter != 250*time.Millisecond {
+			t.Errorf("retry after %v", out.RetryAfter)
+		}
+		if c.name == "served" && !events[1].Genuine {
+			t.Error("its own answer is not known")
+		}
+	}
+	connect, _ := sidecarThat(t, strings.Replace(ok, "ID", "xy", 1))
+	rec := NewRecorder(time.Now(), 100)
+	caller := NewCaller(classes, &Desk{}, rec, 50*time.Millisecond, 4)
+	defer caller.Close()
+	caller.Try(Try{ID: "ab", Class: look, Job: &Job{}, Wait: time.Second, Connect: connect})
+	if events, _ := rec.Events(); events[1].Genuine {
+		t.Error("another's answer passes")
+	}
+	caller.Close()
+	if out := caller.Try(Try{ID: "cd", Job: &Job{}, Connect: func() (string, string, bool) { return "", "", false }}); out.Reached {
+		t.Errorf("no sidecar: %+v", out)
+	}
+}
+
+// A sidecar may close a connection between requests: the request that crosses it is sent once more, on a new one.
+func TestARequestThatCrossesACloseIsSentOnceMore(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nID n1"
+	connect, e := sidecarThat(t, ok, "CLOSE", ok, "CLOSE", "CLOSE")
+	rec := NewRecorder(time.Now(), 100)
+	caller := NewCaller(classes, &Desk{}, rec, 50*time.Millisecond, 4)
+	defer caller.Close()
+	for i, want := range []int{200, 200, 0} {
+		if out := caller.Try(Try{ID: fmt.Sprint("r", i), Class: look, Job: &Job{}, Wait: time.Second, Connect: connect}); out.Status != want {
+			t.Errorf("try %d: %+v", i, out)
+		}
+	}
+	if n := e.Requests.Load(); n != 5 {
+		t.Errorf("%d requests came", n)
+	}
+}
+
+func TestTheFrontDealsInTurn(t *testing.T) {
+	f := &Front{}
+	if _, _, ok := f.Connect(); ok {
+		t.Error("there is none")
+	}
+	f.In("a", "1")
+	f.In("b", "2")
+	f.In("a", "1") // once
+	got := map[string]int{}
+	for range 10 {
+		name, _, _ := f.Connect()
+		got[name]++
+	}
+	if got["a"] != 5 || got["b"] != 5 {
+		t.Errorf("%v", got)
+	}
+	f.Out("a")
+	f.Out("nobody")
+	for range 3 {
+		if name, addr, ok := f.Connect(); name != "b" || addr != "2" || !ok {
+			t.Error(name)
+		}
+	}
+}
+
+func TestATimelineHasABound(t *testing.T) {
+	rec := NewRecorder(time.Now(), 2)
+	for range 5 {
+		rec.Add(referee.Event{})
+	}
+	if events, lost := rec.Events(); len(events) != 2 || lost != 3 {
+		t.Errorf("%d kept, %d lost", len(events), lost)
+	}
+}
