--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -45,6 +45,7 @@
 		Backoff  tomlfile.Span  `toml:"backoff"`
 		Honour   tomlfile.Range `toml:"honour"`  // share that heeds Retry-After
 		HangUp   tomlfile.Range `toml:"hang_up"` // share of requests whose client leaves early
+		Keep     tomlfile.Span  `toml:"keep"`    // a connection is used for so long, then a new one is dealt out; 0: for good
 	} `toml:"clients"`
 	Rules struct {
 		Attempts      int           `toml:"attempts"`
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -118,6 +118,9 @@
 	began := usage()
 	w.rec = standin.NewRecorder(time.Now(), eventsMost)
 	w.clients = standin.NewCaller(plan.Classes, w.desk, w.rec, plan.Day.Rules.Slack, clientsIdle)
+	if keep := plan.Day.Clients.Keep; keep.Hi > 0 {
+		w.clients.Lasts(func() time.Duration { return keep.At(w.share("keep", fmt.Sprint(w.seq.Add(1)))) })
+	}
 	defer w.close()
 	if err := w.build(); err != nil {
 		return nil, err
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"io"
 	"strings"
+	"sync"
 
 	"tuliprock/internal/referee"
 )
@@ -13,17 +14,24 @@
 //go:embed report.html
 var reportText string
 
-var reportPage = template.Must(template.New("report").Funcs(template.FuncMap{
-	"worthChart": worthChart, "latencyChart": latencyChart, "refusalChart": refusalChart, "troubleChart": troubleChart, "handChart": handChart,
-	"occasions": occasions, "describe": describe, "verdict": verdictText, "names": func(m map[string]Share) []string { return names(m) },
-	"latencies": func(m map[string]Latency) []string { return names(m) }, "ruleWord": ruleWord,
-	"seconds": func(v float64) string { return fmt.Sprintf("%.3f s", v) }, "three": func(v float64) string { return fmt.Sprintf("%.3f", v) },
-	"one": func(v float64) string { return fmt.Sprintf("%.1f", v) }, "ms": func(v float64) string { return fmt.Sprintf("%.1f ms", 1000*v) },
-	"percent": func(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) },
-	"bar":     func(v float64) template.CSS { return template.CSS(fmt.Sprintf("width:%.1f%%", 100*min(max(v, 0), 1))) },
-	"class":   func(v referee.Verdict) string { return strings.ReplaceAll(string(v), " ", "-") },
-	"series":  func(i int) string { return fmt.Sprintf("series%d", i%5) },
-}).Parse(reportText))
+// reportPage is read when it is first wanted: the daemon starts from the same program and must not pay for it.
+var reportPage = sync.OnceValue(func() *template.Template {
+	return template.Must(template.New("report").Funcs(reportFuncs()).Parse(reportText))
+})
+
+func reportFuncs() template.FuncMap {
+	return template.FuncMap{
+		"worthChart": worthChart, "latencyChart": latencyChart, "refusalChart": refusalChart, "troubleChart": troubleChart, "handChart": handChart,
+		"occasions": occasions, "describe": describe, "verdict": verdictText, "names": func(m map[string]Share) []string { return names(m) },
+		"latencies": func(m map[string]Latency) []string { return names(m) }, "ruleWord": ruleWord,
+		"seconds": func(v float64) string { return fmt.Sprintf("%.3f s", v) }, "three": func(v float64) string { return fmt.Sprintf("%.3f", v) },
+		"one": func(v float64) string { return fmt.Sprintf("%.1f", v) }, "ms": func(v float64) string { return fmt.Sprintf("%.1f ms", 1000*v) },
+		"percent": func(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) },
+		"bar":     func(v float64) template.CSS { return template.CSS(fmt.Sprintf("width:%.1f%%", 100*min(max(v, 0), 1))) },
+		"class":   func(v referee.Verdict) string { return strings.ReplaceAll(string(v), " ", "-") },
+		"series":  func(i int) string { return fmt.Sprintf("series%d", i%5) },
+	}
+}
 
 // WriteReport writes a page that opens offline: one file, with nothing to load.
 func WriteReport(w io.Writer, results []*Result) error {
@@ -35,5 +43,5 @@
 			balancers = append(balancers, r.Balancer)
 		}
 	}
-	return reportPage.Execute(w, map[string]any{"Results": results, "Several": len(results) > 1, "Sweep": sweepChart(results), "Balancers": balancers})
+	return reportPage().Execute(w, map[string]any{"Results": results, "Several": len(results) > 1, "Sweep": sweepChart(results), "Balancers": balancers})
 }
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -44,8 +44,9 @@
 	classes []Class
 	desk    *Desk
 	rec     *Recorder
-	slack   time.Duration // after a try's time until its answer counts as never come
-	most    int           // idle connections kept
+	slack   time.Duration        // after a try's time until its answer counts as never come
+	most    int                  // idle connections kept
+	lasts   func() time.Duration // for how long a new one is used; nil: for good
 
 	mu   sync.Mutex
 	idle []*line
@@ -56,6 +57,7 @@
 	net.Conn
 	in            *bufio.Reader
 	sidecar, addr string
+	until         time.Time // it is not used any more; zero: for good
 }
 
 // NewCaller makes a Caller that keeps at most most idle connections. slack is the rules' own on a try's time.
@@ -63,6 +65,10 @@
 	return &Caller{classes: classes, desk: desk, rec: rec, slack: slack, most: most}
 }
 
+// Lasts makes every new connection be used for a time that the function draws. It must be set before the first try, and
+// may be called from many goroutines.
+func (c *Caller) Lasts(draw func() time.Duration) { c.lasts = draw }
+
 // Close closes what is idle.
 func (c *Caller) Close() {
 	c.mu.Lock()
@@ -77,10 +83,13 @@
 func (c *Caller) take() *line {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n := len(c.idle); n > 0 {
+	for n := len(c.idle); n > 0; n = len(c.idle) {
 		l := c.idle[n-1]
 		c.idle = c.idle[:n-1]
-		return l
+		if l.until.IsZero() || time.Now().Before(l.until) {
+			return l
+		}
+		l.Close()
 	}
 	return nil
 }
@@ -109,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &line{nc, bufio.NewReader(nc), name, addr}, nil
+	return &line{Conn: nc, in: bufio.NewReader(nc), sidecar: name, addr: addr}, nil
 }
 
 // Try makes one try. It returns when the answer has come, the time is up or the connection has ended.
@@ -124,6 +133,9 @@
 			if l, err = dial(t); err != nil {
 				return out
 			}
+			if c.lasts != nil {
+				l.until = time.Now().Add(c.lasts())
+			}
 			out.Dialed = true
 		} else if !again {
 			l.Close() // the second time on a new connection
