--- a/cmd/tuliprock/command_test.go
+++ b/cmd/tuliprock/command_test.go
@@ -164,11 +164,34 @@
 	}
 }
 
-func TestAnInterruptEndsEverything(t *testing.T) {
-	logs := t.TempDir()
-	cmd := program("rehearse", tiny(t, `"2s"`, `"60s"`), "--logs", logs)
-	var errs strings.Builder
-	cmd.Stderr = &errs
+func TestPlainPickersAndDemandsAreSetSideBySide(t *testing.T) {
+	code, out, errs := run(t, program("rehearse", tiny(t), "--against", "random,least-outstanding", "--demand", "0.5,1"))
+	if code != 0 || strings.Count(out, "\ntiny ") != 6 || strings.Count(out, "least-outstanding") != 2 || strings.Count(out, "held") != 6 {
+		t.Errorf("%d\n%s\n%s", code, out, errs)
+	}
+}
+
+// A rehearsal that stood still must say that it can't judge, and not blame the sidecars.
+func TestARehearsalThatStoodStillIsNotValid(t *testing.T) {
+	cmd, errs := started(t, tiny(t))
+	for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(700 * time.Millisecond) // over the 500 ms that are allowed: the fault itself
+	}
+	_ = cmd.Wait()
+	if cmd.ProcessState.ExitCode() != 1 || !strings.Contains(errs.String(), "tiny is not valid") {
+		t.Errorf("%d %q", cmd.ProcessState.ExitCode(), errs.String())
+	}
+}
+
+// started runs a rehearsal until its clients are at work.
+func started(t *testing.T, day string) (*exec.Cmd, *strings.Builder) {
+	t.Helper()
+	logs, errs := t.TempDir(), &strings.Builder{}
+	cmd := program("rehearse", day, "--logs", logs)
+	cmd.Stderr = errs
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -183,6 +206,12 @@
 			t.Fatal("never started")
 		}
 	}
+	time.Sleep(200 * time.Millisecond) // from its sidecar's start to the day's: nothing tells it
+	return cmd, errs
+}
+
+func TestAnInterruptEndsEverything(t *testing.T) {
+	cmd, errs := started(t, tiny(t, `"2s"`, `"60s"`))
 	if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/rehearse/tell_test.go
@@ -0,0 +1,91 @@
+package rehearse
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprock/internal/referee"
+)
+
+// told is a result with a broken rule, a crash, and names that need care.
+func told(balancer string, seed uint64, demand, service float64) *Result {
+	r := &Result{Format: 1, Day: "d<b>ay", Balancer: balancer, Seed: seed, Demand: demand, Valid: true, Service: service, Whole: service / 100,
+		ByClass: map[string]Share{"look": {Asked: 2, Answered: 1, Share: 0.5}}, ByTenant: map[string]Share{"t": {Share: 1}},
+		Latency: map[string]Latency{"all": {P99: 1.5}, "look": {P50: 0.25}}, BySecond: make([]Second, 20), Refusals: make([]float64, 20),
+		Nodes: []string{"front-1", "front-2"}, InHand: [][]int{{1, 0}, {2, 1}, {0, 0}, {4, 3}},
+		Troubles: []Strike{{Kind: "slow", At: 2 * time.Second, For: 3 * time.Second, Targets: []string{"front-1"}, Size: 4}},
+		Referee:  &referee.Report{}}
+	names := []referee.Verdict{referee.Held, referee.Broken, referee.Untested, referee.Held}
+	for i := range r.Referee.Rules {
+		r.Referee.Rules[i] = referee.Rule{Number: i + 1, Name: "a rule", Verdict: names[i], Occasions: map[string]int{"things": i}}
+	}
+	r.Referee.Rules[1].Broken = 7
+	r.Referee.Rules[1].Breaches = []referee.Breach{{Rule: 2, At: 1500 * time.Millisecond, Request: "r<1>", Node: "front-1", What: "sent <twice>"}}
+	return r
+}
+
+func TestOneResultIsTold(t *testing.T) {
+	var b bytes.Buffer
+	if err := WriteTable(&b, []*Result{told(Module, 1, 1, 80)}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"BROKEN 7 times", "not put to the test", "rule 2, at 1.500 s: sent <twice>, request r<1>, node front-1", "look", "0.500", "things 1"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, b.String())
+		}
+	}
+}
+
+func TestSeveralAreSetSideBySideWithTheirSpread(t *testing.T) {
+	var b bytes.Buffer
+	if err := WriteTable(&b, []*Result{told(Module, 1, 1, 80), told(Module, 2, 1, 60), told(Module, 3, 1, 70), told("random", 1, 1, 30), told("random", 2, 1, 40), told("random", 3, 1, 20)}); err != nil {
+		t.Fatal(err)
+	}
+	rows := map[string]bool{}
+	for _, line := range strings.Split(b.String(), "\n") {
+		rows[strings.Join(strings.Fields(line), " ")] = true
+	}
+	for _, want := range []string{"tuliprock 1 60.0 70.0 80.0 3", "random 1 20.0 30.0 40.0 3"} {
+		if !rows[want] {
+			t.Errorf("%q is missing in\n%s", want, b.String())
+		}
+	}
+	if !strings.Contains(b.String(), "BROKEN: 2") {
+		t.Error("the broken rule is not named")
+	}
+}
+
+func TestThePageIsWholeAndLoadsNothing(t *testing.T) {
+	var b bytes.Buffer
+	if err := WriteReport(&b, []*Result{told(Module, 1, 0.8, 80), told(Module, 1, 1.3, 60), told("random", 1, 1.3, 50)}); err != nil {
+		t.Fatal(err)
+	}
+	page := b.String()
+	for _, bad := range []string{"http:", "https:", "<script", "d<b>ay", "<twice>", "r<1>", "NaN", "ZgotmplZ"} {
+		if strings.Contains(page, bad) {
+			t.Errorf("the page has %q", bad)
+		}
+	}
+	for _, want := range []string{"</html>", `class="breach"`, "sent &lt;twice&gt;", "BROKEN 7 times", "worth against demand", `class="band slow"`, "not-put-to-the-test"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+}
+
+func TestTheJSONCanBeReadBack(t *testing.T) {
+	var b bytes.Buffer
+	if err := WriteJSON(&b, []*Result{told(Module, 1, 1, 80)}); err != nil {
+		t.Fatal(err)
+	}
+	var out struct {
+		Format int
+		Runs   []Result
+	}
+	if err := json.Unmarshal(b.Bytes(), &out); err != nil || out.Format != 1 || len(out.Runs) != 1 || out.Runs[0].Referee.Rules[1].Broken != 7 {
+		t.Errorf("%v: %+v", err, out)
+	}
+}
