--- a/internal/referee/referee_test.go
+++ b/internal/referee/referee_test.go
@@ -99,6 +99,7 @@
 		return l
 	}()},
 	{"sent after its end", 2, "after its end", begin().ask(s, "r", look).end(2*s, Left, "r", "").send(2*s+100*ms, "r", "a", 1)},
+	{"sent as its caller left", 2, "", begin().ask(s, "q", look).send(s+ms, "q", "a", 1).end(s+2*ms, Declined, "q", "a").send(s+3*ms, "q", "a", 1).end(s+4*ms, Done, "q", "a").answer(s+5*ms, "q", 200).ask(s, "r", look).end(2*s, Left, "r", "").send(2*s+51*ms, "r", "a", 1)},
 	{"asked by nobody", 2, "nobody had asked", begin().send(s, "ghost", "a", 1)},
 
 	{"sent to what drains", 3, "node drains", begin().told(s, "a", Draining).ask(2*s, "r", look).send(2*s, "r", "a", 1)},
