--- a/internal/referee/referee_test.go
+++ b/internal/referee/referee_test.go
@@ -70,6 +70,7 @@
 	{"lost with a killed sidecar", 1, "", append(begin().ask(s, "r", look), Event{At: 2 * s, Kind: Killed, Sidecar: "s"}).end(2*s+ms, Lost, "r", "")},
 	{"lost at a planned end", 1, "without a whole answer", append(begin().ask(s, "r", look), Event{At: s + 100*ms, Kind: Term, Sidecar: "s"}).end(2*s, Lost, "r", "")},
 	{"taken long after SIGTERM, and found by SIGKILL", 1, "", append(begin(), Event{At: s, Kind: Term, Sidecar: "s"}, Event{At: 4 * s, Kind: Killed, Sidecar: "s"}).ask(s+800*ms, "r", look).end(4*s, Lost, "r", "")},
+	{"taken soon after SIGTERM, and found by SIGKILL", 1, "without a whole answer", append(begin(), Event{At: s, Kind: Term, Sidecar: "s"}, Event{At: 4 * s, Kind: Killed, Sidecar: "s"}).ask(s+700*ms, "r", look).end(4*s, Lost, "r", "")},
 	{"taken long after SIGTERM, and lost by itself", 1, "without a whole answer", append(begin(), Event{At: s, Kind: Term, Sidecar: "s"}).ask(s+800*ms, "r", look).end(2*s, Lost, "r", "")},
 	{"another's answer", 1, "no endpoint made", append(begin().ask(s, "r", look), Event{At: 2 * s, Kind: Answered, Request: "r", Status: 200})},
 	{"a crash", 1, "ended by itself", append(begin().ask(s, "r", look).answer(2*s, "r", 200), Event{At: 3 * s, Kind: Exited, Sidecar: "s", Crash: true})},
--- a/internal/rehearse/bad_test.go
+++ b/internal/rehearse/bad_test.go
@@ -48,6 +48,10 @@
 		if c.Listen, err = doubled(c.Listen); err != nil {
 			return err
 		}
+	case "finds its port taken":
+		if _, err := net.Listen("tcp", c.Listen); err != nil {
+			return err
+		}
 	case "crashes":
 		time.AfterFunc(2*time.Second, func() { os.Exit(3) })
 	default:
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -140,11 +140,13 @@
 	return r, nil
 }
 
+// fail ends the day: it is not the one that was drawn any more.
 func (w *world) fail(err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.failed == nil && w.ctx.Err() == nil {
 		w.failed = err
+		w.cancel()
 	}
 }
 
@@ -351,6 +353,12 @@
 			w.client(i, due)
 		}()
 	})
+	hurry := context.AfterFunc(w.ctx, func() { // an interrupt must not wait for answers
+		for _, p := range w.all {
+			p.stop()
+		}
+	})
+	defer hurry()
 	w.work.Wait()
 	calm()
 	strikes.Wait()
@@ -358,12 +366,15 @@
 	end := w.rec.Now()
 	close(done)
 	watching.Wait()
+	w.mu.Lock()
+	failed := w.failed
+	w.mu.Unlock()
+	if failed != nil {
+		return nil, failed
+	}
 	if err := w.ctx.Err(); err != nil {
 		return nil, err
 	}
-	if w.failed != nil {
-		return nil, w.failed
-	}
 	return w.result(watch, dayStart, end, began), nil
 }
 
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -214,13 +214,13 @@
 	defer goleak.VerifyNone(t)
 	for what, command := range map[string]func() *exec.Cmd{
 		"no such program": func() *exec.Cmd { return exec.Command(filepath.Join(t.TempDir(), "nothing")) },
-		"ended before it": func() *exec.Cmd { return exec.Command("/bin/sh", "-c", "echo a port is taken >&2; exit 1") },
+		"a port is taken": testSidecar("finds its port taken"),
 	} {
 		_, err := Play(context.Background(), testPlan(t), Options{Command: command})
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", what, err)
 		}
-		if what == "ended before it" && (err == nil || !strings.Contains(err.Error(), "a port is taken")) {
+		if what == "a port is taken" && (err == nil || !strings.Contains(err.Error(), "address already in use")) {
 			t.Errorf("%s: the log is not quoted: %v", what, err)
 		}
 	}
--- a/internal/rehearse/strike.go
+++ b/internal/rehearse/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -140,7 +141,10 @@
 	p.member = member(p.node, standin.StateReady, began)
 	m := p.member
 	p.mu.Unlock()
-	if err != nil { // it fell over while cold, or its port is taken
+	if err != nil {
+		if !errors.Is(err, standin.ErrFallen) { // its port is taken: the day is not the one that was drawn
+			w.fail(err)
+		}
 		return
 	}
 	w.tell(p, m, true)
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -138,6 +138,9 @@
 	}}
 }
 
+// ErrFallen is the error of a start after the node, cold, was pushed over.
+var ErrFallen = errors.New("it has fallen over and stays down")
+
 // Start brings the node up, at its former address if it had one, and tells when.
 func (n *Node) Start(cold bool) (began time.Time, err error) {
 	n.mu.Lock()
@@ -146,7 +149,7 @@
 		return n.life.began, nil
 	}
 	if n.fallen {
-		return time.Time{}, fmt.Errorf("node %s has fallen over and stays down", n.ID)
+		return time.Time{}, fmt.Errorf("node %s: %w", n.ID, ErrFallen)
 	}
 	addr := n.Addr
 	if addr == "" {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -299,6 +299,19 @@
 	}
 }
 
+func TestAPortThatIsTakenIsSaid(t *testing.T) {
+	b := newBench(t, nil)
+	b.Stop()
+	l, err := net.Listen("tcp", b.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if _, err := b.Start(true); err == nil || !strings.Contains(err.Error(), "n1") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("%v", err)
+	}
+}
+
 func TestACapacityRisesEvenly(t *testing.T) {
 	for since, want := range map[time.Duration]float64{0: 0.4, 2: 0.7, 4: 1, 9: 1} {
 		if got := warmth(0.4, 4*time.Second, since*time.Second); math.Abs(got-want) > 1e-9 {
