Routes, the operators' file and its check

Other installations need something to be configured in. internal/route compiles ordered rules on host, path, method, header and query; paths are brought into one form first, and what servers read differently is turned away. internal/config reads the operators' file whole, each error with file, line and field; 'tuliprock check' prints what was understood and explains which route takes a request. serve is not there yet.

--- /dev/null
+++ b/cmd/tuliprock/check.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"tuliprock/internal/config"
+	"tuliprock/internal/route"
+)
+
+type checkCommand struct {
+	File    string   `arg:"" help:"An operators' file."`
+	Route   string   `placeholder:"'METHOD URL'" help:"Say which route takes this request, and why the ones before it don't."`
+	Headers []string `name:"header" short:"H" sep:"none" placeholder:"'NAME: VALUE'" help:"A header of that request; may be repeated."`
+}
+
+// Run implements kong's command.
+func (c *checkCommand) Run() error {
+	f, err := config.Read(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Route == "" {
+		return summary(os.Stdout, f)
+	}
+	r, err := c.request()
+	if err != nil {
+		return err
+	}
+	return explain(os.Stdout, f, r)
+}
+
+// request reads what --route and --header give.
+func (c *checkCommand) request() (*route.Request, error) {
+	method, target, ok := strings.Cut(c.Route, " ")
+	u, err := url.Parse(target)
+	if !ok || err != nil || u.Host == "" {
+		return nil, fmt.Errorf("--route: %q is no method and URL", c.Route)
+	}
+	path, query, err := route.Normalize(u.RequestURI())
+	if err != nil {
+		return nil, fmt.Errorf("--route: the daemon answers 400: %w", err)
+	}
+	r := &route.Request{Host: strings.ToLower(u.Hostname()), Path: path, RawQuery: query, Method: method, Header: http.Header{}}
+	for _, h := range c.Headers {
+		name, value, ok := strings.Cut(h, ":")
+		if !ok {
+			return nil, fmt.Errorf("--header: %q has no colon", h)
+		}
+		r.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	return r, nil
+}
+
+// explain says which route takes a request.
+func explain(w io.Writer, f *config.File, r *route.Request) error {
+	took, ok := f.Table().Match(r)
+	for i := range f.Route {
+		if ok && i == took {
+			to := f.Route[i]
+			_, err := fmt.Fprintf(w, "%s takes it: pool %s, class %s\n", routeName(f, i), to.Pool, to.Class)
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "%s does not: %s\n", routeName(f, i), f.Table().Refusal(i, r)); err != nil {
+			return err
+		}
+	}
+	return verdict{errors.New("no route takes it: the daemon answers 404")}
+}
+
+func routeName(f *config.File, i int) string {
+	if name := f.Route[i].Name; name != "" {
+		return fmt.Sprintf("route[%d] (%s)", i, name)
+	}
+	return fmt.Sprintf("route[%d]", i)
+}
+
+// summary prints what was understood, and what looks like a mistake.
+func summary(w io.Writer, f *config.File) error {
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, l := range f.Listener {
+		fmt.Fprintf(t, "listener\t%s\t%s\tup to %d connections, bodies of %d bytes\n", l.Name, l.Address, l.Connections, l.BodyBytes)
+	}
+	for _, c := range f.Class {
+		fmt.Fprintf(t, "class\t%s\t%s\twanted within %v, given up after %v where a request does not say\n", c.Name, c.Effect, c.Aim, c.Deadline)
+	}
+	for _, n := range f.Tenant {
+		fmt.Fprintf(t, "tenant\t%s\t\t%v requests a second\n", n.Name, n.Quota)
+	}
+	for _, p := range f.Pool {
+		fmt.Fprintf(t, "pool\t%s\t%d members\t%d attempts at most\n", p.Name, len(p.Member), p.Attempts)
+	}
+	for i, r := range f.Route {
+		fmt.Fprintf(t, "%s\t\t%s\tas %s\n", routeName(f, i), r.Pool, r.Class)
+	}
+	t.Flush()
+	for _, s := range f.Table().Unreachable() {
+		fmt.Fprintf(&b, "warning: %s takes nothing: %s takes all that it would\n", routeName(f, s.Rule), routeName(f, s.By))
+	}
+	for _, note := range sharedAddresses(f) {
+		fmt.Fprintf(&b, "note: %s\n", note)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// sharedAddresses finds members that are one machine under two names or in two pools: each pool knows only its own calls.
+func sharedAddresses(f *config.File) (notes []string) {
+	first := map[string]string{}
+	for _, p := range f.Pool {
+		for _, m := range p.Member {
+			who := fmt.Sprintf("%s in pool %s", m.ID, p.Name)
+			if other, ok := first[m.Address]; ok {
+				notes = append(notes, fmt.Sprintf("%s and %s are both at %s", other, who, m.Address))
+				continue
+			}
+			first[m.Address] = who
+		}
+	}
+	return notes
+}
--- a/cmd/tuliprock/command.go
+++ b/cmd/tuliprock/command.go
@@ -15,6 +15,7 @@
 // commands is the command line.
 type commands struct {
 	Rehearse rehearseCommand `cmd:"" help:"Play a day on this machine, with stand-ins and real sidecars, and say whether each rule held."`
+	Check    checkCommand    `cmd:"" help:"Check an operators' file, and say what was understood."`
 	Plain    plainCommand    `cmd:"" hidden:"" help:"The daemon with a textbook picker in the module's place, for rehearsals."`
 }
 
--- /dev/null
+++ b/internal/config/file.go
@@ -0,0 +1,437 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"tuliprock/balance"
+	"tuliprock/internal/route"
+	"tuliprock/internal/tomlfile"
+)
+
+// File is the operators' file: what a daemon serves that no platform tells. Read checks it whole.
+type File struct {
+	Format   int        `toml:"format"` // 1
+	Listener []Listener `toml:"listener"`
+	Class    []Class    `toml:"class"`
+	Tenant   []Tenant   `toml:"tenant"`
+	Pool     []Pool     `toml:"pool"`
+	Route    []Route    `toml:"route"`
+
+	table *route.Table
+}
+
+// Listener is an address that callers connect to.
+type Listener struct {
+	Name         string        `toml:"name"`
+	Address      string        `toml:"address"`
+	Connections  int           `toml:"connections"`
+	HeadBytes    int           `toml:"head_bytes"`
+	BodyBytes    int           `toml:"body_bytes"`
+	HeadTimeout  time.Duration `toml:"head_timeout"`
+	BodyTimeout  time.Duration `toml:"body_timeout"`
+	IdleTimeout  time.Duration `toml:"idle_timeout"`
+	WriteTimeout time.Duration `toml:"write_timeout"`
+	Forwarded    string        `toml:"forwarded"`
+}
+
+// Class is a class of requests: what repeating one may do, and where its particulars are found.
+type Class struct {
+	Name           string        `toml:"name"`
+	Effect         string        `toml:"effect"`
+	Window         time.Duration `toml:"window"`
+	Group          string        `toml:"group"`
+	Aim            time.Duration `toml:"aim"`
+	Deadline       time.Duration `toml:"deadline"`
+	DeadlineMost   time.Duration `toml:"deadline_most"`
+	IDHeader       string        `toml:"id_header"`
+	KeyHeader      string        `toml:"key_header"`
+	TenantHeader   string        `toml:"tenant_header"`
+	DeadlineHeader string        `toml:"deadline_header"`
+}
+
+// Tenant is one of the parties that share the pools.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Quota float64 `toml:"quota"` // requests a second within its share
+}
+
+// Pool is a set of members that serve the same, with a decision module of its own.
+type Pool struct {
+	Name        string        `toml:"name"`
+	Attempts    int           `toml:"attempts"`
+	ColdFrom    float64       `toml:"cold_from"`
+	ColdFor     time.Duration `toml:"cold_for"`
+	Connections int           `toml:"connections"`
+	DialTimeout time.Duration `toml:"dial_timeout"`
+	IdleTimeout time.Duration `toml:"idle_timeout"`
+	Member      []Member      `toml:"member"`
+}
+
+// Member is an endpoint of a fixed list.
+type Member struct {
+	ID      string `toml:"id"`
+	Address string `toml:"address"`
+	Zone    string `toml:"zone"`
+	Kind    string `toml:"kind"`
+	Cell    int    `toml:"cell"`
+}
+
+// Route says which requests go to which pool, as which class. The first that matches takes a request.
+type Route struct {
+	Name          string      `toml:"name"`
+	Hosts         []string    `toml:"hosts"`
+	Path          string      `toml:"path"`          // one of these four, or none
+	PathPrefix    string      `toml:"path_prefix"`   //
+	PathSegments  string      `toml:"path_segments"` //
+	PathPattern   string      `toml:"path_pattern"`  //
+	Methods       []string    `toml:"methods"`
+	Header        []Condition `toml:"header"`
+	Query         []Condition `toml:"query"`
+	Pool          string      `toml:"pool"`
+	Class         string      `toml:"class"`
+	Tenant        string      `toml:"tenant"`         // for requests that name none
+	ReplacePrefix string      `toml:"replace_prefix"` // put in place of path_prefix
+}
+
+// Condition is on a header or a query value; with neither equal nor prefix nor absent it must be there.
+type Condition struct {
+	Name   string `toml:"name"`
+	Equal  string `toml:"equal"`
+	Prefix string `toml:"prefix"`
+	Absent bool   `toml:"absent"`
+}
+
+// Defaults of an operators' file. Times and sizes are those that the platform's daemon was measured with.
+const (
+	defaultConnections = 500
+	defaultHead        = 16 << 10
+	defaultBody        = 64 << 10
+	mostBody           = 64 << 10 // until bodies are passed along as they arrive
+	defaultAttempts    = 4
+	defaultColdFrom    = 0.3
+	defaultColdFor     = 10 * time.Second
+	mostDeadline       = time.Hour
+	mostRules          = 100_000
+	mostMembers        = 100_000
+)
+
+// Read reads and checks an operators' file. An error names file, line and field, in one line; a file that can't be read
+// is the error of the system.
+func Read(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseFile(path, text)
+}
+
+// ParseFile is Read on a text already read.
+func ParseFile(name string, text []byte) (*File, error) {
+	f := &File{}
+	at, err := tomlfile.Decode(name, text, f)
+	if err != nil {
+		return nil, err
+	}
+	f.fill(at)
+	for _, check := range []func(*tomlfile.File) error{f.checkListeners, f.checkClasses, f.checkTenants, f.checkPools, f.checkRoutes} {
+		if err := check(at); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Table is the file's routes, compiled; its rules have the places of Route.
+func (f *File) Table() *route.Table { return f.table }
+
+func or[T comparable](v *T, otherwise T) {
+	var zero T
+	if *v == zero {
+		*v = otherwise
+	}
+}
+
+// fill puts defaults where the file says nothing. A zero that it does say stays, and is checked.
+func (f *File) fill(at *tomlfile.File) {
+	set := func(field string, fill func()) {
+		if !at.Has(field) {
+			fill()
+		}
+	}
+	for i := range f.Listener {
+		l, here := &f.Listener[i], fmt.Sprintf("listener[%d].", i)
+		set(here+"connections", func() { l.Connections = defaultConnections })
+		set(here+"head_bytes", func() { l.HeadBytes = defaultHead })
+		set(here+"body_bytes", func() { l.BodyBytes = defaultBody })
+		set(here+"head_timeout", func() { l.HeadTimeout = 1500 * time.Millisecond })
+		set(here+"body_timeout", func() { l.BodyTimeout = time.Second })
+		set(here+"idle_timeout", func() { l.IdleTimeout = 5 * time.Second })
+		set(here+"write_timeout", func() { l.WriteTimeout = 5 * time.Second })
+		or(&l.Forwarded, "set")
+	}
+	for i := range f.Class {
+		c, here := &f.Class[i], fmt.Sprintf("class[%d].", i)
+		set(here+"deadline", func() { c.Deadline = 5 * time.Second })
+		set(here+"deadline_most", func() { c.DeadlineMost = max(c.Deadline, time.Minute) })
+		set(here+"aim", func() { c.Aim = c.Deadline / 2 })
+		or(&c.Group, "all")
+		or(&c.IDHeader, "Req-Id")
+		or(&c.KeyHeader, "Idempotency-Key")
+		or(&c.TenantHeader, "Req-Owner")
+		or(&c.DeadlineHeader, "Req-Deadline-Ms")
+	}
+	for i := range f.Pool {
+		p, here := &f.Pool[i], fmt.Sprintf("pool[%d].", i)
+		set(here+"attempts", func() { p.Attempts = defaultAttempts })
+		set(here+"cold_from", func() { p.ColdFrom = defaultColdFrom })
+		set(here+"cold_for", func() { p.ColdFor = defaultColdFor })
+		set(here+"connections", func() { p.Connections = defaultConnections })
+		set(here+"dial_timeout", func() { p.DialTimeout = 250 * time.Millisecond })
+		set(here+"idle_timeout", func() { p.IdleTimeout = 15 * time.Second })
+		for k := range p.Member {
+			or(&p.Member[k].ID, p.Member[k].Address)
+		}
+	}
+}
+
+// must is one thing that has to hold of a field.
+type must struct {
+	field string
+	ok    bool
+	be    string
+}
+
+func first(at *tomlfile.File, here string, list []must) error {
+	for _, m := range list {
+		if !m.ok {
+			return at.Errorf(here+"."+m.field, "must be %s", m.be)
+		}
+	}
+	return nil
+}
+
+// namesSeen holds names to be given, and each once.
+type namesSeen map[string]bool
+
+func (n namesSeen) take(name string) bool {
+	ok := name != "" && !n[name]
+	n[name] = true
+	return ok
+}
+
+func (f *File) checkListeners(at *tomlfile.File) error {
+	if f.Format != 1 {
+		return at.Errorf("format", "must be 1")
+	}
+	if len(f.Listener) == 0 {
+		return at.Errorf("listener", "must be given")
+	}
+	seen, addresses := namesSeen{}, namesSeen{}
+	for i, l := range f.Listener {
+		_, port, err := net.SplitHostPort(l.Address)
+		if err := first(at, fmt.Sprintf("listener[%d]", i), []must{
+			{"name", seen.take(l.Name), "a name of its own"},
+			{"address", err == nil && isPort(port), "host:port"},
+			{"address", strings.HasSuffix(l.Address, ":0") || addresses.take(l.Address), "an address of its own"},
+			{"connections", l.Connections >= 1 && l.Connections <= 1_000_000, "from 1 to 1000000"},
+			{"head_bytes", l.HeadBytes >= 1<<10 && l.HeadBytes <= 1<<20, "from 1024 to 1048576"},
+			{"body_bytes", l.BodyBytes >= 0 && l.BodyBytes <= mostBody, fmt.Sprintf("from 0 to %d", mostBody)},
+			{"head_timeout", l.HeadTimeout > 0, "over 0"},
+			{"body_timeout", l.BodyTimeout > 0, "over 0"},
+			{"idle_timeout", l.IdleTimeout > 0, "over 0"},
+			{"write_timeout", l.WriteTimeout > 0, "over 0"},
+			{"forwarded", l.Forwarded == "set" || l.Forwarded == "append" || l.Forwarded == "drop", `"set", "append" or "drop"`},
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func isPort(s string) bool {
+	_, err := strconv.ParseUint(s, 10, 16)
+	return err == nil
+}
+
+// isField tells whether a name can be that of a header (RFC 9110, 5.6.2).
+func isField(s string) bool {
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", c) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Effects and Groups are the module's, by their names in the file.
+var (
+	Effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
+	Groups  = map[string]balance.Group{"all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell}
+)
+
+func (f *File) checkClasses(at *tomlfile.File) error {
+	if len(f.Class) == 0 {
+		return at.Errorf("class", "must be given")
+	}
+	seen := namesSeen{}
+	for i, c := range f.Class {
+		_, effect := Effects[c.Effect]
+		_, group := Groups[c.Group]
+		if err := first(at, fmt.Sprintf("class[%d]", i), []must{
+			{"name", seen.take(c.Name), "a name of its own"},
+			{"effect", effect, "safe, keyed or unsafe"},
+			{"window", (c.Window > 0) == (c.Effect == "keyed"), "over 0 for a keyed class, and only there"},
+			{"group", group, "all, zone or cell"},
+			{"deadline", c.Deadline > 0, "over 0"},
+			{"deadline_most", c.DeadlineMost >= c.Deadline && c.DeadlineMost <= mostDeadline, "the deadline at least, and 1h at most"},
+			{"aim", c.Aim > 0 && c.Aim <= c.DeadlineMost, "over 0, and deadline_most at most"},
+			{"id_header", isField(c.IDHeader), "the name of a header"},
+			{"key_header", isField(c.KeyHeader), "the name of a header"},
+			{"tenant_header", isField(c.TenantHeader), "the name of a header"},
+			{"deadline_header", isField(c.DeadlineHeader), "the name of a header"},
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *File) checkTenants(at *tomlfile.File) error {
+	seen := namesSeen{}
+	for i, t := range f.Tenant {
+		if err := first(at, fmt.Sprintf("tenant[%d]", i), []must{
+			{"name", seen.take(t.Name), "a name of its own"},
+			{"quota", t.Quota > 0, "over 0"},
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *File) checkPools(at *tomlfile.File) error {
+	if len(f.Pool) == 0 {
+		return at.Errorf("pool", "must be given")
+	}
+	seen := namesSeen{}
+	for i, p := range f.Pool {
+		here := fmt.Sprintf("pool[%d]", i)
+		if err := first(at, here, []must{
+			{"name", seen.take(p.Name), "a name of its own"},
+			{"attempts", p.Attempts >= 1 && p.Attempts <= 100, "from 1 to 100"},
+			{"cold_from", p.ColdFrom > 0 && p.ColdFrom <= 1, "over 0, and 1 at most"},
+			{"connections", p.Connections >= 1 && p.Connections <= 1_000_000, "from 1 to 1000000"},
+			{"dial_timeout", p.DialTimeout > 0, "over 0"},
+			{"idle_timeout", p.IdleTimeout > 0, "over 0"},
+			{"member", len(p.Member) > 0 && len(p.Member) <= mostMembers, fmt.Sprintf("from 1 to %d of them", mostMembers)},
+		}); err != nil {
+			return err
+		}
+		ids := namesSeen{}
+		for k, m := range p.Member {
+			_, port, err := net.SplitHostPort(m.Address)
+			if err := first(at, fmt.Sprintf("%s.member[%d]", here, k), []must{
+				{"address", err == nil && isPort(port) && port != "0", "host:port"},
+				{"id", ids.take(m.ID), "an id of its own in the pool (left out, it is the address)"},
+			}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *File) checkRoutes(at *tomlfile.File) error {
+	if n := len(f.Route); n == 0 || n > mostRules {
+		return at.Errorf("route", "must be from 1 to %d of them", mostRules)
+	}
+	pools, classes, tenants := namesSeen{}, namesSeen{}, namesSeen{"": true}
+	for _, p := range f.Pool {
+		pools[p.Name] = true
+	}
+	for _, c := range f.Class {
+		classes[c.Name] = true
+	}
+	for _, t := range f.Tenant {
+		tenants[t.Name] = true
+	}
+	rules := make([]route.Rule, 0, len(f.Route))
+	for i, r := range f.Route {
+		here := fmt.Sprintf("route[%d]", i)
+		rule, err := r.rule(at, here)
+		if err != nil {
+			return err
+		}
+		if err := first(at, here, []must{
+			{"pool", pools[r.Pool], "the name of a pool"},
+			{"class", classes[r.Class], "the name of a class"},
+			{"tenant", tenants[r.Tenant], "the name of a tenant"},
+			{"replace_prefix", r.ReplacePrefix == "" || r.PathPrefix != "" && strings.HasPrefix(r.ReplacePrefix, "/"), "a path, beside path_prefix"},
+		}); err != nil {
+			return err
+		}
+		if _, err := route.New([]route.Rule{rule}); err != nil { // alone, so that its line is known
+			_, problem, _ := strings.Cut(err.Error(), "): ")
+			return at.Errorf(here, "%s", problem)
+		}
+		rules = append(rules, rule)
+	}
+	var err error
+	f.table, err = route.New(rules)
+	return err
+}
+
+// rule is the route in the matcher's terms.
+func (r *Route) rule(at *tomlfile.File, here string) (route.Rule, error) {
+	rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods}
+	given := 0
+	for _, p := range []struct {
+		kind route.PathKind
+		path string
+	}{{route.Exact, r.Path}, {route.Prefix, r.PathPrefix}, {route.Segments, r.PathSegments}, {route.Pattern, r.PathPattern}} {
+		if p.path != "" {
+			given++
+			rule.Kind, rule.Path = p.kind, p.path
+		}
+	}
+	if given > 1 {
+		return rule, at.Errorf(here, "must have one of path, path_prefix, path_segments and path_pattern at most")
+	}
+	var err error
+	if rule.Headers, err = conditions(at, here+".header", r.Header); err != nil {
+		return rule, err
+	}
+	rule.Query, err = conditions(at, here+".query", r.Query)
+	return rule, err
+}
+
+func conditions(at *tomlfile.File, here string, list []Condition) (out []route.Condition, err error) {
+	for i, c := range list {
+		this := fmt.Sprintf("%s[%d]", here, i)
+		if c.Name == "" {
+			return nil, at.Errorf(this+".name", "must be given")
+		}
+		given := 0
+		n := route.Condition{Name: c.Name}
+		for _, o := range []struct {
+			op    route.Op
+			on    bool
+			value string
+		}{{route.Equal, at.Has(this + ".equal"), c.Equal}, {route.HasPrefix, c.Prefix != "", c.Prefix}, {route.Absent, c.Absent, ""}} {
+			if o.on {
+				given++
+				n.Op, n.Value = o.op, o.value
+			}
+		}
+		if given > 1 {
+			return nil, at.Errorf(this, "must have one of equal, prefix and absent at most")
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/config/file_test.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprock/internal/route"
+)
+
+const goodFile = `format = 1
+
+[[listener]]
+name = "counter"
+address = "127.0.0.1:8080"
+
+[[class]]
+name = "lookup"
+effect = "safe"
+deadline = "3s"
+
+[[class]]
+name = "dispatch"
+effect = "keyed"
+window = "10s"
+group = "cell"
+
+[[tenant]]
+name = "council"
+quota = 20
+
+[[pool]]
+name = "desk"
+  [[pool.member]]
+  address = "127.0.0.1:9001"
+  [[pool.member]]
+  id = "two"
+  address = "127.0.0.1:9002"
+
+[[route]]
+name = "moves"
+methods = ["MOVE", "LOCK"]
+pool = "desk"
+class = "dispatch"
+  [[route.header]]
+  name = "x-terminal"
+  equal = ""
+
+[[route]]
+name = "rest"
+hosts = ["*.shire.example"]
+path_prefix = "/desk/"
+replace_prefix = "/"
+pool = "desk"
+class = "lookup"
+tenant = "council"
+`
+
+func TestAnOperatorsFileIsRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ops.toml")
+	if err := os.WriteFile(path, []byte(goodFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c := f.Class[0]; c.Deadline != 3*time.Second || c.Aim != 1500*time.Millisecond || c.DeadlineMost != time.Minute || c.IDHeader != "Req-Id" || c.Group != "all" {
+		t.Errorf("defaults of a class: %+v", c)
+	}
+	if p := f.Pool[0]; p.Attempts != 4 || p.ColdFrom != 0.3 || p.Member[0].ID != "127.0.0.1:9001" || p.Member[1].ID != "two" {
+		t.Errorf("defaults of a pool: %+v", p)
+	}
+	if l := f.Listener[0]; l.Connections != 500 || l.BodyBytes != 64<<10 || l.Forwarded != "set" {
+		t.Errorf("defaults of a listener: %+v", l)
+	}
+	if i, ok := f.Table().Match(&route.Request{Host: "a.shire.example", Path: "/desk/x", Method: "GET"}); !ok || i != 1 {
+		t.Errorf("route %d, %v", i, ok)
+	}
+	if i, ok := f.Table().Match(&route.Request{Path: "/", Method: "MOVE", Header: map[string][]string{"X-Terminal": {""}}}); !ok || i != 0 {
+		t.Errorf("route %d, %v", i, ok)
+	}
+}
+
+func TestABadOperatorsFileNamesLineAndField(t *testing.T) {
+	for want, swap := range map[string][2]string{
+		":1: format: must be 1":                      {"format = 1", "format = 2"},
+		":5: listener[0].address: must be host:port": {"127.0.0.1:8080", "127.0.0.1"},
+		":4: listener[0].name":                       {`"counter"`, `""`},
+		": listener: must be given":                  {"[[listener]]\nname = \"counter\"\naddress = \"127.0.0.1:8080\"\n", ""},
+		":9: class[0].effect":                        {`"safe"`, `"harmless"`},
+		":10: class[0].deadline":                     {`"3s"`, `"0s"`},
+		":12: class[1].window":                       {"window = \"10s\"\n", ""},
+		":16: class[1].group":                        {`"cell"`, `"bay"`},
+		":13: class[1].name: must be a name of":      {`"dispatch"`, `"lookup"`},
+		":20: tenant[0].quota":                       {"20", "-1"},
+		":25: pool[0].member[0].address":             {"127.0.0.1:9001", "127.0.0.1:0"},
+		":27: pool[0].member[1].id":                  {`"two"`, `"127.0.0.1:9001"`},
+		":33: route[0].pool: must be the name":       {"pool = \"desk\"\nclass = \"dispatch\"", "pool = \"dusk\"\nclass = \"dispatch\""},
+		":45: route[1].class":                        {`class = "lookup"`, `class = "look"`},
+		":46: route[1].tenant":                       {`tenant = "council"`, `tenant = "nobody"`},
+		"route[1].replace_prefix":                    {`replace_prefix = "/"`, `replace_prefix = "x"`},
+		"route[1]: must have one of path":            {"path_prefix", "path = \"/x\"\npath_prefix"},
+		"route[1]: host":                             {"*.shire.example", "*.*.example"},
+		"route[0].header[0]: must have one of equal": {`equal = ""`, "equal = \"\"\nabsent = true"},
+		":5: listener[0].adress: unknown field":      {"address", "adress"},
+	} {
+		text := strings.Replace(goodFile, swap[0], swap[1], 1)
+		if text == goodFile {
+			t.Fatalf("%s: nothing replaced", want)
+		}
+		_, err := ParseFile("ops.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "ops.toml:") {
+			t.Errorf("want %s, got %v", want, err)
+		}
+	}
+}
+
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte(goodFile))
+	f.Add([]byte("[[route]]\npath_pattern = \"(\"\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := ParseFile("ops.toml", text)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "ops.toml") {
+				t.Errorf("%q", err)
+			}
+			return
+		}
+		if file.Table().Len() != len(file.Route) {
+			t.Error("a route is missing in the table")
+		}
+	})
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,404 @@
+// Package route decides which route takes a request. It is pure: rules in, a compiled table out, no I/O, clock or
+// goroutine. A table never changes and is safe for concurrent use.
+package route
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// PathKind says how a rule's path is compared.
+type PathKind uint8
+
+// The kinds of paths.
+const (
+	AnyPath  PathKind = iota
+	Exact             // the whole path
+	Prefix            // any path that begins so
+	Segments          // segment by segment: "*" is any one, "**" at the end any number of them, none included
+	Pattern           // a regular expression (RE2) that must match the whole path
+)
+
+// Op says how a header's or a query's value is compared.
+type Op uint8
+
+// The comparisons. A value that comes several times matches if any of them does.
+const (
+	Present Op = iota
+	Absent
+	Equal
+	HasPrefix
+)
+
+// Condition is on a header or a query value. Header names are compared without regard to case.
+type Condition struct {
+	Name  string
+	Op    Op
+	Value string
+}
+
+// Rule is a route as it is written. The first rule of a table whose every part matches takes a request; a part that is
+// left empty matches all.
+type Rule struct {
+	Name    string
+	Hosts   []string // "a.example", or "*.example" for any name below it, of any depth
+	Kind    PathKind
+	Path    string
+	Methods []string
+	Headers []Condition
+	Query   []Condition
+}
+
+// Request is what is matched. Host is without a port, in small letters; Path and RawQuery are as Normalize gives them.
+type Request struct {
+	Host, Path, RawQuery, Method string
+	Header                       http.Header
+}
+
+// Bounds of what a table takes.
+const (
+	mostSegments = 64
+	mostPattern  = 1024
+)
+
+// Table is a list of rules, compiled. Lookups on it allocate nothing unless a rule asks for a query value that is
+// percent-encoded, or for a pattern.
+type Table struct {
+	rules    []compiled
+	exact    map[string]*paths // by host
+	below    map[string]*paths // by the host that a wildcard's "*." stands before
+	anywhere *paths
+}
+
+type compiled struct {
+	Rule
+	pattern *regexp.Regexp
+	literal string   // that any match of the pattern begins with
+	parts   []string // of Segments
+	rest    bool     // it ends with "**"
+}
+
+// paths is an index of the rules of one host, by path. All lists are in the rules' order.
+type paths struct {
+	any      []int
+	exact    map[string][]int
+	prefix   byPrefix
+	segments *node
+	patterns byPrefix // by what is literal at their beginning
+}
+
+// byPrefix has lists by what a path must begin with.
+type byPrefix struct {
+	lists   map[string][]int
+	lengths []int // of the prefixes, rising
+}
+
+func (b *byPrefix) add(prefix string, i int) {
+	if b.lists[prefix] == nil {
+		if at, found := slices.BinarySearch(b.lengths, len(prefix)); !found {
+			b.lengths = slices.Insert(b.lengths, at, len(prefix))
+		}
+	}
+	b.lists[prefix] = append(b.lists[prefix], i)
+}
+
+// node is a place in the tree of segments.
+type node struct {
+	next map[string]*node
+	star *node
+	ends []int // rules that end here
+	rest []int // rules that end here with "**"
+}
+
+// New compiles rules. An error names the rule and what is wrong with it.
+func New(rules []Rule) (*Table, error) {
+	t := &Table{exact: map[string]*paths{}, below: map[string]*paths{}, anywhere: newPaths()}
+	for i, r := range rules {
+		c, err := compile(r)
+		if err != nil {
+			return nil, fmt.Errorf("route %d (%s): %w", i, r.Name, err)
+		}
+		t.rules = append(t.rules, c)
+		if len(r.Hosts) == 0 {
+			t.anywhere.add(i, &c)
+		}
+		for _, h := range r.Hosts {
+			into, name := t.exact, h
+			if rest, ok := strings.CutPrefix(h, "*."); ok {
+				into, name = t.below, rest
+			}
+			if into[name] == nil {
+				into[name] = newPaths()
+			}
+			into[name].add(i, &c)
+		}
+	}
+	return t, nil
+}
+
+// Len is how many rules the table has.
+func (t *Table) Len() int { return len(t.rules) }
+
+// Rule is the i-th rule.
+func (t *Table) Rule(i int) Rule { return t.rules[i].Rule }
+
+func compile(r Rule) (c compiled, err error) {
+	c.Rule = r
+	for _, h := range r.Hosts {
+		if name := strings.TrimPrefix(h, "*."); name == "" || strings.ContainsAny(name, "*/: ") || name != strings.ToLower(name) {
+			return c, fmt.Errorf("host %q is no name in small letters, nor one behind \"*.\"", h)
+		}
+	}
+	switch r.Kind {
+	case Exact, Prefix:
+		if !strings.HasPrefix(r.Path, "/") {
+			return c, fmt.Errorf("path %q does not begin with a slash", r.Path)
+		}
+		if r.Kind == Exact {
+			if normal, _, err := Normalize(r.Path); err != nil || normal != r.Path {
+				return c, fmt.Errorf("path %q is not in its normal form, and would never match", r.Path)
+			}
+		}
+	case Segments:
+		if !strings.HasPrefix(r.Path, "/") {
+			return c, fmt.Errorf("path %q does not begin with a slash", r.Path)
+		}
+		c.parts = strings.Split(r.Path[1:], "/")
+		if c.rest = c.parts[len(c.parts)-1] == "**"; c.rest {
+			c.parts = c.parts[:len(c.parts)-1]
+		}
+		if len(c.parts) > mostSegments {
+			return c, fmt.Errorf("path has over %d segments", mostSegments)
+		}
+		if slices.Contains(c.parts, "**") {
+			return c, errors.New(`"**" may stand at the end of a path only`)
+		}
+	case Pattern:
+		if len(r.Path) > mostPattern {
+			return c, fmt.Errorf("pattern is longer than %d bytes", mostPattern)
+		}
+		if c.pattern, err = regexp.Compile(`\A(?:` + r.Path + `)\z`); err != nil {
+			return c, fmt.Errorf("pattern: %w", err)
+		}
+		if free, err := regexp.Compile(r.Path); err == nil { // without the anchors, which hide it
+			c.literal, _ = free.LiteralPrefix()
+		}
+	}
+	for i, h := range r.Headers {
+		if c.Headers == nil || i == 0 {
+			c.Headers = slices.Clone(r.Headers)
+		}
+		c.Headers[i].Name = http.CanonicalHeaderKey(h.Name)
+	}
+	return c, nil
+}
+
+func newPaths() *paths {
+	return &paths{exact: map[string][]int{}, prefix: byPrefix{lists: map[string][]int{}}, patterns: byPrefix{lists: map[string][]int{}}, segments: &node{}}
+}
+
+func (p *paths) add(i int, c *compiled) {
+	switch c.Kind {
+	case AnyPath:
+		p.any = append(p.any, i)
+	case Exact:
+		p.exact[c.Path] = append(p.exact[c.Path], i)
+	case Prefix:
+		p.prefix.add(c.Path, i)
+	case Segments:
+		n := p.segments
+		for _, part := range c.parts {
+			n = n.child(part)
+		}
+		if c.rest {
+			n.rest = append(n.rest, i)
+		} else {
+			n.ends = append(n.ends, i)
+		}
+	case Pattern:
+		p.patterns.add(c.literal, i)
+	}
+}
+
+func (n *node) child(part string) *node {
+	if part == "*" {
+		if n.star == nil {
+			n.star = &node{}
+		}
+		return n.star
+	}
+	if n.next == nil {
+		n.next = map[string]*node{}
+	}
+	if n.next[part] == nil {
+		n.next[part] = &node{}
+	}
+	return n.next[part]
+}
+
+// none is a place behind all rules.
+const none = int(^uint(0) >> 1)
+
+// Match gives the index of the first rule that takes a request; ok is false where none does.
+func (t *Table) Match(r *Request) (i int, ok bool) {
+	best := none
+	if p := t.exact[r.Host]; p != nil {
+		best = t.among(p, r, best)
+	}
+	for rest := r.Host; len(t.below) > 0; {
+		dot := strings.IndexByte(rest, '.')
+		if dot < 0 {
+			break
+		}
+		rest = rest[dot+1:]
+		if p := t.below[rest]; p != nil && dot > 0 {
+			best = t.among(p, r, best)
+		}
+	}
+	best = t.among(t.anywhere, r, best)
+	return best, best != none
+}
+
+// among finds the first rule of one host's that takes the request, if it stands before best.
+func (t *Table) among(p *paths, r *Request, best int) int {
+	best = t.first(p.any, r, best)
+	best = t.first(p.exact[r.Path], r, best)
+	for _, n := range p.prefix.lengths {
+		if n > len(r.Path) {
+			break
+		}
+		best = t.first(p.prefix.lists[r.Path[:n]], r, best)
+	}
+	if p.segments.next != nil || p.segments.star != nil || p.segments.rest != nil {
+		best = t.walk(p.segments, r.Path, r, best)
+	}
+	for _, n := range p.patterns.lengths {
+		if n > len(r.Path) {
+			break
+		}
+		best = t.firstPattern(p.patterns.lists[r.Path[:n]], r, best)
+	}
+	return best
+}
+
+// firstPattern is first for patterns, which cost more than all else and are looked at last.
+func (t *Table) firstPattern(list []int, r *Request, best int) int {
+	for _, i := range list {
+		if i >= best {
+			return best
+		}
+		if t.rules[i].holds(r) && t.rules[i].pattern.MatchString(r.Path) {
+			return i
+		}
+	}
+	return best
+}
+
+// walk goes down the tree of segments. left begins with the slash before the next segment, or is empty at the end. Each
+// node is visited once at most for each of its ancestors' ways, and there is one way to a node: the work is bounded by the
+// tree, whatever the path.
+func (t *Table) walk(n *node, left string, r *Request, best int) int {
+	best = t.first(n.rest, r, best)
+	if left == "" {
+		return t.first(n.ends, r, best)
+	}
+	part, after := left[1:], ""
+	if i := strings.IndexByte(part, '/'); i >= 0 {
+		part, after = part[:i], part[i:]
+	}
+	if next := n.next[part]; next != nil {
+		best = t.walk(next, after, r, best)
+	}
+	if n.star != nil && part != "" {
+		best = t.walk(n.star, after, r, best)
+	}
+	return best
+}
+
+// first finds the first rule of a list that holds, if it stands before best.
+func (t *Table) first(list []int, r *Request, best int) int {
+	for _, i := range list {
+		if i >= best {
+			return best
+		}
+		if t.rules[i].holds(r) {
+			return i
+		}
+	}
+	return best
+}
+
+// holds tells whether what is not host and path matches.
+func (c *compiled) holds(r *Request) bool {
+	if len(c.Methods) > 0 && !slices.Contains(c.Methods, r.Method) {
+		return false
+	}
+	for i := range c.Headers {
+		if !c.Headers[i].inHeader(r.Header) {
+			return false
+		}
+	}
+	for i := range c.Query {
+		if !c.Query[i].inQuery(r.RawQuery) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Condition) inHeader(h http.Header) bool {
+	values := h[c.Name]
+	if c.Op == Absent {
+		return len(values) == 0
+	}
+	return slices.ContainsFunc(values, c.value)
+}
+
+func (c *Condition) value(v string) bool {
+	switch c.Op {
+	case Equal:
+		return v == c.Value
+	case HasPrefix:
+		return strings.HasPrefix(v, c.Value)
+	}
+	return true
+}
+
+// inQuery looks through a raw query without making a map of it.
+func (c *Condition) inQuery(raw string) bool {
+	for raw != "" {
+		var pair string
+		pair, raw, _ = strings.Cut(raw, "&")
+		name, value, _ := strings.Cut(pair, "=")
+		if unescape(name) == c.Name && (c.Op == Absent || c.value(unescape(value))) {
+			return c.Op != Absent
+		}
+	}
+	return c.Op == Absent
+}
+
+// unescape decodes a part of a query as forms do; what is malformed stays as it is, and so matches no decent name.
+func unescape(s string) string {
+	if !strings.ContainsAny(s, "%+") {
+		return s
+	}
+	var b strings.Builder
+	for i := 0; i < len(s); i++ {
+		switch {
+		case s[i] == '+':
+			b.WriteByte(' ')
+		case s[i] == '%' && i+2 < len(s) && unhex(s[i+1]) >= 0 && unhex(s[i+2]) >= 0:
+			b.WriteByte(byte(unhex(s[i+1])<<4 | unhex(s[i+2])))
+			i += 2
+		case s[i] == '%':
+			return s
+		default:
+			b.WriteByte(s[i])
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,354 @@
+package route
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// naive is the reference: each rule in turn, each part by itself.
+func naive(t *Table, r *Request) (int, bool) {
+	for i := range t.rules {
+		if t.Refusal(i, r) == "" {
+			return i, true
+		}
+	}
+	return none, false
+}
+
+func part(words ...string) *rapid.Generator[string] { return rapid.SampledFrom(words) }
+
+var (
+	hosts    = part("a.example", "b.example", "x.a.example", "y.x.a.example", "example", ".a.example", "")
+	patterns = part("a.example", "*.example", "*.a.example", "example", "b.example")
+	segment  = part("a", "b", "c", "*", "")
+	methods  = part("GET", "PUT", "MOVE")
+)
+
+func path(t *rapid.T, of *rapid.Generator[string]) string {
+	return "/" + strings.Join(rapid.SliceOfN(of, 1, 4).Draw(t, "segments"), "/")
+}
+
+func condition(t *rapid.T) Condition {
+	return Condition{Name: part("X-A", "x-b").Draw(t, "name"), Op: Op(rapid.IntRange(0, 3).Draw(t, "op")), Value: part("1", "12", "").Draw(t, "value")}
+}
+
+func rule(t *rapid.T) Rule {
+	r := Rule{Hosts: rapid.SliceOfN(patterns, 0, 2).Draw(t, "hosts"), Kind: PathKind(rapid.IntRange(0, 4).Draw(t, "kind")),
+		Methods: rapid.SliceOfN(methods, 0, 2).Draw(t, "methods")}
+	switch r.Kind {
+	case Exact:
+		r.Path = path(t, part("a", "b", "c"))
+	case Prefix:
+		r.Path = path(t, part("a", "b", "ab"))
+	case Segments:
+		if r.Path = path(t, segment); rapid.Bool().Draw(t, "rest") {
+			r.Path += "/**"
+		}
+	case Pattern:
+		r.Path = part(`/a.*`, `/[ab]/c`, `.*`, `/(a|b|/)*`).Draw(t, "pattern")
+	}
+	switch rapid.IntRange(0, 5).Draw(t, "conditions") {
+	case 0:
+		r.Headers = []Condition{condition(t)}
+	case 1:
+		r.Query = []Condition{condition(t)}
+	case 2:
+		r.Headers, r.Query = []Condition{condition(t)}, []Condition{condition(t)}
+	}
+	return r
+}
+
+func request(t *rapid.T) *Request {
+	h := http.Header{}
+	for _, name := range []string{"X-A", "X-B"} {
+		if v := rapid.SliceOfN(part("1", "12", "2"), 0, 2).Draw(t, name); len(v) > 0 {
+			h[name] = v
+		}
+	}
+	return &Request{Host: hosts.Draw(t, "host"), Path: path(t, part("a", "b", "c", "ab", "")), Method: methods.Draw(t, "method"), Header: h,
+		RawQuery: part("", "X-A=1", "x-b=12&X-A=2", "x%2Db=1%32", "X-A", "&&=1").Draw(t, "query")}
+}
+
+// The compiled table must answer as a matcher that looks at each rule in turn.
+func TestATableIsItsRulesInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, err := New(rapid.SliceOfN(rapid.Custom(rule), 0, 12).Draw(t, "rules"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			r := request(t)
+			got, ok := table.Match(r)
+			want, wantOK := naive(table, r)
+			if got != want || ok != wantOK {
+				t.Fatalf("%+v: rule %d, want %d", r, got, want)
+			}
+		}
+	})
+}
+
+// What is said to be unreachable must never be reached.
+func TestAnUnreachableRuleTakesNothing(t *testing.T) {
+	found := 0
+	rapid.Check(t, func(t *rapid.T) {
+		table, err := New(rapid.SliceOfN(rapid.Custom(rule), 2, 8).Draw(t, "rules"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		shadows := table.Unreachable()
+		found += len(shadows)
+		for range 20 {
+			got, _ := table.Match(request(t))
+			for _, s := range shadows {
+				if got == s.Rule {
+					t.Fatalf("rule %d is reached, though %d is said to cover it: %+v, %+v", s.Rule, s.By, table.Rule(s.Rule), table.Rule(s.By))
+				}
+			}
+		}
+	})
+	if found == 0 {
+		t.Error("none was ever found")
+	}
+}
+
+func TestNormalForms(t *testing.T) {
+	for target, want := range map[string]string{
+		"/": "/", "/a/b": "/a/b", "/a%62c": "/abc", "/%7euser": "/~user", "/a%c3%a9": "/a%C3%A9", "/a/./b": "/a/b", "/a/../b": "/b", "/a/b/..": "/a/",
+		"/a/.": "/a/", "/a/%2e%2e/b": "/b", "/...": "/...", "/a.b": "/a.b", "/.hidden": "/.hidden", "/a?x=/../y;z": "/a", "/a%20b": "/a%20b",
+	} {
+		got, _, err := Normalize(target)
+		if err != nil || got != want {
+			t.Errorf("%q: %q, %v", target, got, err)
+		}
+	}
+	for target, want := range map[string]error{
+		"": ErrNotPath, "a": ErrNotPath, "*": ErrNotPath, "http://a.example/x": ErrNotPath, "?x": ErrNotPath, "//a": ErrSegment, "/a//b": ErrSegment,
+		"/a;x=1": ErrSegment, "/a%2fb": ErrEscape, "/a%5Cb": ErrEscape, "/%00": ErrEscape, "/a%3bx": ErrEscape, "/a%252e": ErrEscape, "/a%zz": ErrEscape,
+		"/a%2": ErrEscape, "/..": ErrAbove, "/a/../../b": ErrAbove, "/%2e%2e/": ErrAbove, `/a\b`: ErrCharacter, "/a b": ErrCharacter, "/a\x7f": ErrCharacter,
+		"/é": ErrCharacter, "/a#b": ErrCharacter,
+	} {
+		if got, _, err := Normalize(target); err != want {
+			t.Errorf("%q: %q, %v, want %v", target, got, err, want)
+		}
+	}
+}
+
+func FuzzNormalize(f *testing.F) {
+	for _, seed := range []string{"/", "/a/../b?x", "/%2e%2E/a", "/a%2fb", "//", "/.", "/a/.%2e/"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		path, query, err := Normalize(target)
+		if err != nil {
+			return
+		}
+		again, _, err := Normalize(path)
+		if err != nil || again != path {
+			t.Errorf("%q is %q, which is %q, %v", target, path, again, err)
+		}
+		if strings.Contains(path, "//") || strings.Contains(path+"/", "/../") || strings.Contains(path+"/", "/./") || strings.ContainsAny(path, "?;\\# ") || path[0] != '/' {
+			t.Errorf("%q is %q", target, path)
+		}
+		if _, raw, _ := strings.Cut(target, "?"); raw != query {
+			t.Errorf("the query of %q is %q", target, query)
+		}
+	})
+}
+
+func FuzzMatch(f *testing.F) {
+	f.Add("/a/*/c/**", "/a/b/c", "x=1", `/a.*`)
+	f.Fuzz(func(t *testing.T, segments, target, query, pattern string) {
+		table, err := New([]Rule{{Kind: Segments, Path: segments}, {Kind: Prefix, Path: segments}, {Kind: Pattern, Path: pattern}, {Kind: Exact, Path: target},
+			{Query: []Condition{{Name: "x", Op: Equal, Value: "1"}}}})
+		if err != nil {
+			return
+		}
+		path, _, err := Normalize(target)
+		if err != nil {
+			return
+		}
+		r := &Request{Path: path, RawQuery: query}
+		got, _ := table.Match(r)
+		if want, _ := naive(table, r); got != want {
+			t.Errorf("%+v: %d, want %d", r, got, want)
+		}
+	})
+}
+
+func TestABadRuleIsNamed(t *testing.T) {
+	for want, r := range map[string]Rule{
+		"host":               {Hosts: []string{"A.example"}},
+		"no name":            {Hosts: []string{"a.*"}},
+		"begin with a slash": {Kind: Exact, Path: "a"},
+		"normal form":        {Kind: Exact, Path: "/a/../b"},
+		"at the end":         {Kind: Segments, Path: "/**/a"},
+		"segments":           {Kind: Segments, Path: strings.Repeat("/a", 65)},
+		"missing closing":    {Kind: Pattern, Path: "("},
+		"longer than":        {Kind: Pattern, Path: strings.Repeat("a", 1025)},
+	} {
+		_, err := New([]Rule{{}, {Name: "second", Kind: r.Kind, Path: r.Path, Hosts: r.Hosts}})
+		if err == nil || !strings.HasPrefix(err.Error(), "route 1 (second): ") || !strings.Contains(err.Error(), want) {
+			t.Errorf("want %q: %v", want, err)
+		}
+	}
+}
+
+func TestARefusalSaysWhy(t *testing.T) {
+	table, err := New([]Rule{{Hosts: []string{"a.example"}}, {Kind: Exact, Path: "/x"}, {Methods: []string{"PUT"}},
+		{Headers: []Condition{{Name: "x-a", Op: Equal, Value: "1"}}}, {Query: []Condition{{Name: "q"}}}, {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Request{Host: "b.example", Path: "/y", Method: "GET", Header: http.Header{}}
+	for i, want := range []string{`host "b.example" is none of a.example`, `path "/y" does not match "/x"`, "method GET is none of PUT", `header X-A is not "1"`, "query value q is missing", ""} {
+		if got := table.Refusal(i, r); got != want {
+			t.Errorf("rule %d: %q", i, got)
+		}
+	}
+}
+
+// A tree of segments with a wildcard beside a name at each level must not be walked over and over.
+func TestPatternsMadeToBeSlowAreNot(t *testing.T) {
+	var rules []Rule
+	for i := range 1 << 10 {
+		var b strings.Builder
+		for bit := range 10 {
+			if i>>bit&1 == 0 {
+				b.WriteString("/a")
+			} else {
+				b.WriteString("/*")
+			}
+		}
+		rules = append(rules, Rule{Kind: Segments, Path: b.String() + "/end"})
+	}
+	rules = append(rules, Rule{Kind: Pattern, Path: `/(a*)*b`})
+	table, err := New(rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := table.Match(&Request{Path: strings.Repeat("/a", 10) + "/no"}); ok {
+		t.Error("matched")
+	}
+	if _, ok := table.Match(&Request{Path: "/" + strings.Repeat("a", 8000)}); ok {
+		t.Error("matched")
+	}
+}
+
+func tableOf(n int) (*Table, *Request) {
+	var rules []Rule
+	for i := range n {
+		r := Rule{Name: fmt.Sprint(i), Hosts: []string{fmt.Sprintf("h%d.example", i/10)}}
+		switch i % 4 {
+		case 0:
+			r.Kind, r.Path = Exact, fmt.Sprintf("/exact/%d", i)
+		case 1:
+			r.Kind, r.Path = Prefix, fmt.Sprintf("/prefix/%d/", i)
+		case 2:
+			r.Kind, r.Path = Segments, fmt.Sprintf("/users/*/%d/**", i)
+		case 3:
+			r.Kind, r.Path, r.Methods = Prefix, "/", []string{"MOVE"}
+		}
+		rules = append(rules, r)
+	}
+	table, err := New(rules)
+	if err != nil {
+		panic(err)
+	}
+	i := (n - 1) / 4 * 4
+	return table, &Request{Host: fmt.Sprintf("h%d.example", i/10), Path: fmt.Sprintf("/exact/%d", i), Method: "GET", Header: http.Header{}}
+}
+
+func TestAnOrdinaryLookupAllocatesNothing(t *testing.T) {
+	table, r := tableOf(1000)
+	if n := testing.AllocsPerRun(100, func() { table.Match(r) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+	if n := testing.AllocsPerRun(100, func() { _, _, _ = Normalize("/exact/996?x=1") }); n != 0 {
+		t.Errorf("%v allocations to normalize", n)
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{10, 1000, 10000} {
+		table, r := tableOf(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := table.Match(r); !ok {
+					b.Fatal("no match")
+				}
+			}
+		})
+	}
+}
+
+// All rules without a host: the least that the index can do for a lookup, and patterns, which it can't help at all.
+func BenchmarkMatchWithoutHosts(b *testing.B) {
+	for _, kind := range []PathKind{Prefix, Segments, Pattern} {
+		for _, n := range []int{10, 1000, 10000} {
+			var rules []Rule
+			for i := range n {
+				rules = append(rules, Rule{Kind: kind, Path: fmt.Sprintf("/service/%d/x", i)})
+			}
+			table, err := New(rules)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := &Request{Path: fmt.Sprintf("/service/%d/x", n-1)}
+			b.Run(fmt.Sprintf("%s/%d", [...]string{"any", "exact", "prefix", "segments", "pattern"}[kind], n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, ok := table.Match(r); !ok {
+						b.Fatal("no match")
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkNew(b *testing.B) {
+	for _, n := range []int{10, 1000, 10000} {
+		table, _ := tableOf(n)
+		var rules []Rule
+		for i := range n {
+			rules = append(rules, table.Rule(i))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := New(rules); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestConditions(t *testing.T) {
+	for _, c := range []struct {
+		query string
+		want  Condition
+		holds bool
+	}{
+		{"a=1", Condition{"a", Present, ""}, true}, {"b=1", Condition{"a", Present, ""}, false}, {"a", Condition{"a", Present, ""}, true},
+		{"a=1", Condition{"a", Absent, ""}, false}, {"b=1", Condition{"a", Absent, ""}, true}, {"", Condition{"a", Absent, ""}, true},
+		{"a=1&a=2", Condition{"a", Equal, "2"}, true}, {"a=12", Condition{"a", Equal, "1"}, false}, {"a=12", Condition{"a", HasPrefix, "1"}, true},
+		{"%61=%31", Condition{"a", Equal, "1"}, true}, {"a=x+y", Condition{"a", Equal, "x y"}, true}, {"a=%zz", Condition{"a", Equal, "%zz"}, true},
+		{"&&a=1&", Condition{"a", Equal, "1"}, true},
+	} {
+		if got := c.want.inQuery(c.query); got != c.holds {
+			t.Errorf("%q, %+v: %v", c.query, c.want, got)
+		}
+	}
+	h := http.Header{"A": {"1", "23"}}
+	for want, holds := range map[Condition]bool{{"A", Present, ""}: true, {"B", Present, ""}: false, {"A", Absent, ""}: false, {"B", Absent, ""}: true,
+		{"A", Equal, "23"}: true, {"A", Equal, "2"}: false, {"A", HasPrefix, "2"}: true} {
+		if got := want.inHeader(h); got != holds {
+			t.Errorf("%+v: %v", want, got)
+		}
+	}
+}
