--- a/internal/rehearse/plan.go
+++ b/internal/rehearse/plan.go
@@ -64,6 +64,9 @@
 // mostRequests bounds a plan: with three tiers a first try was seen to take 24 kB of the rehearsal, timeline and all.
 const mostRequests = 100_000
 
+// mostCalls bounds the requests of all tiers together: each leaves five events at least in the timeline.
+const mostCalls = eventsMost / 5
+
 // draw is a source of numbers for one matter, so that a change in one does not shift the others.
 func draw(seed uint64, matter uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, matter)) }
 
@@ -255,6 +258,14 @@
 	if err != nil {
 		return err
 	}
+	perTry, reached := 0.0, 1.0
+	for _, calls := range p.calls {
+		reached *= calls
+		perTry += reached
+	}
+	if all := perTry * float64(len(arrivals)); all > mostCalls {
+		return fmt.Errorf("%.0f calls in all tiers, %d are the most that a day may have", all, mostCalls)
+	}
 	tokens, at := make([]float64, len(usage)), make([]time.Duration, len(usage))
 	for i := range tokens {
 		tokens[i] = max(p.Quotas[i], 1)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// Five tiers with ten calls each are 11,111 calls for each request: drawing and holding them would not end.
+func TestADayOfTooManyCallsIsAnError(t *testing.T) {
+	d, err := Parse("test.toml", []byte(strings.Replace(testDay, `name = "back"`, `name = "back"`+"\ncalls = 10", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Cut(45 * time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewPlan(d, 1, 3); err == nil || !strings.Contains(err.Error(), "calls in all tiers") {
+		t.Errorf("%v", err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(testDay))
 	for _, name := range rehearsals.Names() {
