One checker of fields for both kinds of files; drop what nothing reads

The longest deadline was found twice, names were sorted by hand. Fields that were written and never read are gone from outcome, watch, line, ticket, agent and the referee's event, and an error that was always nil. Two comments said something else than the code (Asked, Up).

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -1,14 +1,14 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
-	"net"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/discovery"
 	"tuliprock/internal/route"
 	"tuliprock/internal/tomlfile"
 )
@@ -149,12 +149,7 @@
 // Table is the file's routes, compiled; its rules have the places of Route.
 func (f *File) Table() *route.Table { return f.table }
 
-func or[T comparable](v *T, otherwise T) {
-	var zero T
-	if *v == zero {
-		*v = otherwise
-	}
-}
+func or(v *string, otherwise string) { *v = cmp.Or(*v, otherwise) }
 
 // fill puts defaults where the file says nothing. A zero that it does say stays, and is checked.
 func (f *File) fill(at *tomlfile.File) {
@@ -199,22 +194,6 @@
 	}
 }
 
-// must is one thing that has to hold of a field.
-type must struct {
-	field string
-	ok    bool
-	be    string
-}
-
-func first(at *tomlfile.File, here string, list []must) error {
-	for _, m := range list {
-		if !m.ok {
-			return at.Errorf(here+"."+m.field, "must be %s", m.be)
-		}
-	}
-	return nil
-}
-
 // namesSeen holds names to be given, and each once.
 type namesSeen map[string]bool
 
@@ -233,19 +212,18 @@
 	}
 	seen, addresses := namesSeen{}, namesSeen{}
 	for i, l := range f.Listener {
-		_, port, err := net.SplitHostPort(l.Address)
-		if err := first(at, fmt.Sprintf("listener[%d]", i), []must{
-			{"name", seen.take(l.Name), "a name of its own"},
-			{"address", err == nil && isPort(port), "host:port"},
-			{"address", strings.HasSuffix(l.Address, ":0") || addresses.take(l.Address), "an address of its own"},
-			{"connections", l.Connections >= 1 && l.Connections <= 1_000_000, "from 1 to 1000000"},
-			{"head_bytes", l.HeadBytes >= 1<<10 && l.HeadBytes <= 1<<20, "from 1024 to 1048576"},
-			{"body_bytes", l.BodyBytes >= 0 && l.BodyBytes <= mostBody, fmt.Sprintf("from 0 to %d", mostBody)},
-			{"head_timeout", l.HeadTimeout > 0, "over 0"},
-			{"body_timeout", l.BodyTimeout > 0, "over 0"},
-			{"idle_timeout", l.IdleTimeout > 0, "over 0"},
-			{"write_timeout", l.WriteTimeout > 0, "over 0"},
-			{"forwarded", l.Forwarded == "set" || l.Forwarded == "append" || l.Forwarded == "drop", `"set", "append" or "drop"`},
+		if err := at.Check(fmt.Sprintf("listener[%d]", i), []tomlfile.Must{
+			tomlfile.Need("name", seen.take(l.Name), "a name of its own"),
+			tomlfile.Need("address", isAddress(l.Address), "host:port"),
+			tomlfile.Need("address", strings.HasSuffix(l.Address, ":0") || addresses.take(l.Address), "an address of its own"),
+			tomlfile.Need("connections", l.Connections >= 1 && l.Connections <= 1_000_000, "from 1 to 1000000"),
+			tomlfile.Need("head_bytes", l.HeadBytes >= 1<<10 && l.HeadBytes <= 1<<20, "from 1024 to 1048576"),
+			tomlfile.Need("body_bytes", l.BodyBytes >= 0 && l.BodyBytes <= mostBody, fmt.Sprintf("from 0 to %d", mostBody)),
+			tomlfile.Need("head_timeout", l.HeadTimeout > 0, "over 0"),
+			tomlfile.Need("body_timeout", l.BodyTimeout > 0, "over 0"),
+			tomlfile.Need("idle_timeout", l.IdleTimeout > 0, "over 0"),
+			tomlfile.Need("write_timeout", l.WriteTimeout > 0, "over 0"),
+			tomlfile.Need("forwarded", l.Forwarded == "set" || l.Forwarded == "append" || l.Forwarded == "drop", `"set", "append" or "drop"`),
 		}); err != nil {
 			return err
 		}
@@ -253,10 +231,7 @@
 	return nil
 }
 
-func isPort(s string) bool {
-	_, err := strconv.ParseUint(s, 10, 16)
-	return err == nil
-}
+func isAddress(s string) bool { return discovery.CheckAddress("", s) == nil }
 
 // isField tells whether a name can be that of a header (RFC 9110, 5.6.2).
 func isField(s string) bool {
@@ -282,18 +257,18 @@
 	for i, c := range f.Class {
 		_, effect := Effects[c.Effect]
 		_, group := Groups[c.Group]
-		if err := first(at, fmt.Sprintf("class[%d]", i), []must{
-			{"name", seen.take(c.Name), "a name of its own"},
-			{"effect", effect, "safe, keyed or unsafe"},
-			{"window", (c.Window > 0) == (c.Effect == "keyed"), "over 0 for a keyed class, and only there"},
-			{"group", group, "all, zone or cell"},
-			{"deadline", c.Deadline > 0, "over 0"},
-			{"deadline_most", c.DeadlineMost >= c.Deadline && c.DeadlineMost <= mostDeadline, "the deadline at least, and 1h at most"},
-			{"aim", c.Aim > 0 && c.Aim <= c.DeadlineMost, "over 0, and deadline_most at most"},
-			{"id_header", isField(c.IDHeader), "the name of a header"},
-			{"key_header", isField(c.KeyHeader), "the name of a header"},
-			{"tenant_header", isField(c.TenantHeader), "the name of a header"},
-			{"deadline_header", isField(c.DeadlineHeader), "the name of a header"},
+		if err := at.Check(fmt.Sprintf("class[%d]", i), []tomlfile.Must{
+			tomlfile.Need("name", seen.take(c.Name), "a name of its own"),
+			tomlfile.Need("effect", effect, "safe, keyed or unsafe"),
+			tomlfile.Need("window", (c.Window > 0) == (c.Effect == "keyed"), "over 0 for a keyed class, and only there"),
+			tomlfile.Need("group", group, "all, zone or cell"),
+			tomlfile.Need("deadline", c.Deadline > 0, "over 0"),
+			tomlfile.Need("deadline_most", c.DeadlineMost >= c.Deadline && c.DeadlineMost <= mostDeadline, "the deadline at least, and 1h at most"),
+			tomlfile.Need("aim", c.Aim > 0 && c.Aim <= c.DeadlineMost, "over 0, and deadline_most at most"),
+			tomlfile.Need("id_header", isField(c.IDHeader), "the name of a header"),
+			tomlfile.Need("key_header", isField(c.KeyHeader), "the name of a header"),
+			tomlfile.Need("tenant_header", isField(c.TenantHeader), "the name of a header"),
+			tomlfile.Need("deadline_header", isField(c.DeadlineHeader), "the name of a header"),
 		}); err != nil {
 			return err
 		}
@@ -304,9 +279,9 @@
 func (f *File) checkTenants(at *tomlfile.File) error {
 	seen := namesSeen{}
 	for i, t := range f.Tenant {
-		if err := first(at, fmt.Sprintf("tenant[%d]", i), []must{
-			{"name", seen.take(t.Name), "a name of its own"},
-			{"quota", t.Quota > 0, "over 0"},
+		if err := at.Check(fmt.Sprintf("tenant[%d]", i), []tomlfile.Must{
+			tomlfile.Need("name", seen.take(t.Name), "a name of its own"),
+			tomlfile.Need("quota", t.Quota > 0, "over 0"),
 		}); err != nil {
 			return err
 		}
@@ -321,23 +296,22 @@
 	seen := namesSeen{}
 	for i, p := range f.Pool {
 		here := fmt.Sprintf("pool[%d]", i)
-		if err := first(at, here, []must{
-			{"name", seen.take(p.Name), "a name of its own"},
-			{"attempts", p.Attempts >= 1 && p.Attempts <= 100, "from 1 to 100"},
-			{"cold_from", p.ColdFrom > 0 && p.ColdFrom <= 1, "over 0, and 1 at most"},
-			{"connections", p.Connections >= 1 && p.Connections <= 1_000_000, "from 1 to 1000000"},
-			{"dial_timeout", p.DialTimeout > 0, "over 0"},
-			{"idle_timeout", p.IdleTimeout > 0, "over 0"},
-			{"member", len(p.Member) > 0 && len(p.Member) <= mostMembers, fmt.Sprintf("from 1 to %d of them", mostMembers)},
+		if err := at.Check(here, []tomlfile.Must{
+			tomlfile.Need("name", seen.take(p.Name), "a name of its own"),
+			tomlfile.Need("attempts", p.Attempts >= 1 && p.Attempts <= 100, "from 1 to 100"),
+			tomlfile.Need("cold_from", p.ColdFrom > 0 && p.ColdFrom <= 1, "over 0, and 1 at most"),
+			tomlfile.Need("connections", p.Connections >= 1 && p.Connections <= 1_000_000, "from 1 to 1000000"),
+			tomlfile.Need("dial_timeout", p.DialTimeout > 0, "over 0"),
+			tomlfile.Need("idle_timeout", p.IdleTimeout > 0, "over 0"),
+			tomlfile.Need("member", len(p.Member) > 0 && len(p.Member) <= mostMembers, fmt.Sprintf("from 1 to %d of them", mostMembers)),
 		}); err != nil {
 			return err
 		}
 		ids := namesSeen{}
 		for k, m := range p.Member {
-			_, port, err := net.SplitHostPort(m.Address)
-			if err := first(at, fmt.Sprintf("%s.member[%d]", here, k), []must{
-				{"address", err == nil && isPort(port) && port != "0", "host:port"},
-				{"id", ids.take(m.ID), "an id of its own in the pool (left out, it is the address)"},
+			if err := at.Check(fmt.Sprintf("%s.member[%d]", here, k), []tomlfile.Must{
+				tomlfile.Need("address", isAddress(m.Address) && !strings.HasSuffix(m.Address, ":0"), "host:port"),
+				tomlfile.Need("id", ids.take(m.ID), "an id of its own in the pool (left out, it is the address)"),
 			}); err != nil {
 				return err
 			}
@@ -367,11 +341,11 @@
 		if err != nil {
 			return err
 		}
-		if err := first(at, here, []must{
-			{"pool", pools[r.Pool], "the name of a pool"},
-			{"class", classes[r.Class], "the name of a class"},
-			{"tenant", tenants[r.Tenant], "the name of a tenant"},
-			{"replace_prefix", r.ReplacePrefix == "" || r.PathPrefix != "" && strings.HasPrefix(r.ReplacePrefix, "/"), "a path, beside path_prefix"},
+		if err := at.Check(here, []tomlfile.Must{
+			tomlfile.Need("pool", pools[r.Pool], "the name of a pool"),
+			tomlfile.Need("class", classes[r.Class], "the name of a class"),
+			tomlfile.Need("tenant", tenants[r.Tenant], "the name of a tenant"),
+			tomlfile.Need("replace_prefix", r.ReplacePrefix == "" || r.PathPrefix != "" && strings.HasPrefix(r.ReplacePrefix, "/"), "a path, beside path_prefix"),
 		}); err != nil {
 			return err
 		}
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -14,7 +14,7 @@
 
 // The kinds. A request is known by its id, which is new with each try and each call to a further tier.
 const (
-	Asked      Kind = iota // a caller wrote a request's last byte to Sidecar; Class, Until and Key hold
+	Asked      Kind = iota // a caller writes a request to Sidecar; Class and Until hold
 	Answered               // and got its whole answer, with Status; Genuine if an endpoint made what was served
 	Extra                  // bytes came on the caller's connection after the answer
 	Lost                   // the connection ended without a whole answer
@@ -30,7 +30,7 @@
 	Started                // Node started, cold if ColdFor > 0; Capacity holds
 	Stopped                // Node died: what it had is gone, its connections are reset
 	Fell                   // Node, cold, was pushed over
-	Up                     // Sidecar is ready
+	Up                     // Sidecar's process is started; what it was told before is void
 	Term                   // Sidecar was sent SIGTERM
 	Killed                 // Sidecar was sent SIGKILL
 	Exited                 // Sidecar's process ended; Crash if nobody asked for it
@@ -65,7 +65,6 @@
 	Sidecar  string
 	Node     string
 	Class    int
-	Key      string
 	Until    time.Duration // the caller waits until then
 	First    time.Duration
 	Work     float64 // seconds of work on a core at yardstick speed
@@ -186,7 +185,6 @@
 
 type attempt struct {
 	sent     Event
-	cell     int
 	declined bool
 	endedAt  time.Duration
 	ended    bool
@@ -201,10 +199,10 @@
 }
 
 type sidecar struct {
-	termAt, killedAt time.Duration
-	term, killed     bool
-	told             map[string]*notice
-	starts           map[string]time.Duration // the latest start that it was told of, by node
+	termAt       time.Duration
+	term, killed bool
+	told         map[string]*notice
+	starts       map[string]time.Duration // the latest start that it was told of, by node
 }
 
 func newSidecar() *sidecar {
@@ -303,8 +301,7 @@
 		s := j.sidecar(e.Sidecar)
 		s.term, s.termAt = true, e.At
 	case Killed:
-		s := j.sidecar(e.Sidecar)
-		s.killed, s.killedAt = true, e.At
+		j.sidecar(e.Sidecar).killed = true
 	case Exited:
 		if e.Crash {
 			j.report.Crashes++
@@ -411,10 +408,10 @@
 		j.breach(2, e, "an endpoint got a request that nobody had asked for")
 		return
 	}
-	a := &attempt{sent: *e, cell: e.Cell}
+	a := &attempt{sent: *e}
 	if len(q.attempts) > 0 {
 		j.count(2, "attempts after the first", true)
-		j.judgeResend(q, a, e)
+		j.judgeResend(q, e)
 	}
 	q.attempts = append(q.attempts, a)
 	if q.over && e.First > q.overAt+j.rules.Slack { // a caller that leaves and a send cross each other
@@ -424,7 +421,7 @@
 	j.judgeCold(q.life, e)
 }
 
-func (j *judge) judgeResend(q *request, a *attempt, e *Event) {
+func (j *judge) judgeResend(q *request, e *Event) {
 	c := j.class(q)
 	if n := len(q.attempts) + 1; j.rules.MaxAttempts > 0 && n > j.rules.MaxAttempts {
 		j.breach(2, e, "attempt %d, at most %d are allowed", n, j.rules.MaxAttempts)
@@ -437,8 +434,8 @@
 		case c.Effect == Unsafe:
 			j.breach(2, e, "unsafe work sent again, though the attempt at %s may have run", o.sent.Node)
 			return
-		case c.Effect == Keyed && o.cell != a.cell:
-			j.breach(2, e, "keyed work that may have run at %s (cell %d) sent to cell %d", o.sent.Node, o.cell, a.cell)
+		case c.Effect == Keyed && o.sent.Cell != e.Cell:
+			j.breach(2, e, "keyed work that may have run at %s (cell %d) sent to cell %d", o.sent.Node, o.sent.Cell, e.Cell)
 			return
 		case c.Effect == Keyed && e.First > o.sent.At+c.Window+j.rules.Slack:
 			j.breach(2, e, "keyed work sent again %v after the first send, its window is %v", (e.First - o.sent.At).Round(time.Millisecond), c.Window)
@@ -497,8 +494,8 @@
 	}
 }
 
-// Budget is the work that a cold node may be sent within a window: multiple x what it can do at that moment x window.
-func Budget(rules Rules, started Event, at time.Duration) float64 {
+// budget is the work that a cold node may be sent within a window: multiple x what it can do at that moment x window.
+func budget(rules Rules, started Event, at time.Duration) float64 {
 	share := started.ColdFrom + (1-started.ColdFrom)*min(float64(at-started.At)/float64(max(started.ColdFor, 1)), 1)
 	return rules.FallMultiple * share * started.Capacity * rules.FallAfter.Seconds()
 }
@@ -520,7 +517,7 @@
 	e.Genuine = s.starts[e.Node] >= n.started.At-startRounding // here: sent by a sidecar that knew
 	n.recent = slices.DeleteFunc(append(n.recent, *e), func(o Event) bool { return o.At <= e.At-j.rules.FallAfter })
 	sum, _ := n.pressure()
-	if limit := Budget(j.rules, n.started, e.At) * (1 + j.rules.FallSlack); sum > limit && !n.flagged {
+	if limit := budget(j.rules, n.started, e.At) * (1 + j.rules.FallSlack); sum > limit && !n.flagged {
 		n.flagged = true
 		if !j.blameFor(n) {
 			return
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"tuliprock/internal/tomlfile"
@@ -196,45 +197,29 @@
 	return d, nil
 }
 
-// rule is one thing that must hold of a field.
-type rule struct {
-	field string
-	ok    bool
-	must  string
-}
-
-func firstBroken(f *tomlfile.File, rules []rule) error {
-	for _, r := range rules {
-		if !r.ok {
-			return f.Errorf(r.field, "must be %s", r.must)
-		}
-	}
-	return nil
-}
-
 func share(r tomlfile.Range) bool { return r.Lo >= 0 && r.Hi <= 1 }
 
 func (d *Day) checkHead(f *tomlfile.File) error {
-	return firstBroken(f, []rule{
-		{"format", d.Format == 1, "1"},
-		{"name", d.Name != "", "a name"},
-		{"length", d.Length >= time.Second && d.Length <= mostLength, "from 1s to 1h"},
-		{"load.use", d.Load.Use.Lo > 0 && d.Load.Use.Hi <= 10, "over 0, and 10 at most"},
-		{"load.quota", d.Load.Quota.Lo > 0, "over 0"},
-		{"load.over_share_worth", d.Load.OverShareWorth >= 0 && d.Load.OverShareWorth <= 1, "from 0 to 1"},
-		{"sidecars.count", d.Sidecars.Count.Lo >= 1 && d.Sidecars.Count.Hi <= 50, "from 1 to 50"},
-		{"sidecars.cores", d.Sidecars.Cores > 0, "over 0"},
-		{"sidecars.memory_mb", d.Sidecars.MemoryMB >= 32, "32 at least"},
-		{"sidecars.sockets", d.Sidecars.Sockets >= 64, "64 at least"},
-		{"clients.retries", d.Clients.Retries.Lo >= 0 && d.Clients.Retries.Hi < 10, "from 0 to under 10"},
-		{"clients.try_share", d.Clients.TryShare.Lo > 0 && share(d.Clients.TryShare), "over 0, and 1 at most"},
-		{"clients.at_once", d.Clients.AtOnce >= 0 && d.Clients.AtOnce <= 1, "from 0 to 1"},
-		{"clients.honour", share(d.Clients.Honour), "from 0 to 1"},
-		{"clients.hang_up", share(d.Clients.HangUp), "from 0 to 1"},
-		{"rules.attempts", d.Rules.Attempts >= 1, "1 at least"},
-		{"rules.drain_grace", d.Rules.DrainGrace > 0, "over 0"},
-		{"rules.fall_multiple", d.Rules.FallMultiple > 0, "over 0"},
-		{"rules.fall_after", d.Rules.FallAfter > 0, "over 0"},
+	return f.Check("", []tomlfile.Must{
+		tomlfile.Need("format", d.Format == 1, "1"),
+		tomlfile.Need("name", d.Name != "", "a name"),
+		tomlfile.Need("length", d.Length >= time.Second && d.Length <= mostLength, "from 1s to 1h"),
+		tomlfile.Need("load.use", d.Load.Use.Lo > 0 && d.Load.Use.Hi <= 10, "over 0, and 10 at most"),
+		tomlfile.Need("load.quota", d.Load.Quota.Lo > 0, "over 0"),
+		tomlfile.Need("load.over_share_worth", d.Load.OverShareWorth >= 0 && d.Load.OverShareWorth <= 1, "from 0 to 1"),
+		tomlfile.Need("sidecars.count", d.Sidecars.Count.Lo >= 1 && d.Sidecars.Count.Hi <= 50, "from 1 to 50"),
+		tomlfile.Need("sidecars.cores", d.Sidecars.Cores > 0, "over 0"),
+		tomlfile.Need("sidecars.memory_mb", d.Sidecars.MemoryMB >= 32, "32 at least"),
+		tomlfile.Need("sidecars.sockets", d.Sidecars.Sockets >= 64, "64 at least"),
+		tomlfile.Need("clients.retries", d.Clients.Retries.Lo >= 0 && d.Clients.Retries.Hi < 10, "from 0 to under 10"),
+		tomlfile.Need("clients.try_share", d.Clients.TryShare.Lo > 0 && share(d.Clients.TryShare), "over 0, and 1 at most"),
+		tomlfile.Need("clients.at_once", d.Clients.AtOnce >= 0 && d.Clients.AtOnce <= 1, "from 0 to 1"),
+		tomlfile.Need("clients.honour", share(d.Clients.Honour), "from 0 to 1"),
+		tomlfile.Need("clients.hang_up", share(d.Clients.HangUp), "from 0 to 1"),
+		tomlfile.Need("rules.attempts", d.Rules.Attempts >= 1, "1 at least"),
+		tomlfile.Need("rules.drain_grace", d.Rules.DrainGrace > 0, "over 0"),
+		tomlfile.Need("rules.fall_multiple", d.Rules.FallMultiple > 0, "over 0"),
+		tomlfile.Need("rules.fall_after", d.Rules.FallAfter > 0, "over 0"),
 	})
 }
 
@@ -252,14 +237,14 @@
 		if t.Cell.Hi == 0 {
 			t.Cell = tomlfile.Range{Lo: 4, Hi: 4}
 		}
-		if err := firstBroken(f, []rule{
-			{at + ".name", t.Name != "", "a name"},
-			{at + ".nodes", t.Nodes.Lo >= 1 && sum <= mostNodes, fmt.Sprintf("1 at least, and %d in all tiers together", mostNodes)},
-			{at + ".work", t.Work > 0, "over 0"},
-			{at + ".calls", t.Calls.Lo >= 1 && t.Calls.Hi <= 10, "from 1 to 10"},
-			{at + ".cell", t.Cell.Lo >= 1, "1 at least"},
-			{at + ".errors", share(t.Errors), "from 0 to 1"},
-			{at + ".kind", len(t.Kind) > 0, "given"},
+		if err := f.Check(at, []tomlfile.Must{
+			tomlfile.Need("name", t.Name != "", "a name"),
+			tomlfile.Need("nodes", t.Nodes.Lo >= 1 && sum <= mostNodes, fmt.Sprintf("1 at least, and %d in all tiers together", mostNodes)),
+			tomlfile.Need("work", t.Work > 0, "over 0"),
+			tomlfile.Need("calls", t.Calls.Lo >= 1 && t.Calls.Hi <= 10, "from 1 to 10"),
+			tomlfile.Need("cell", t.Cell.Lo >= 1, "1 at least"),
+			tomlfile.Need("errors", share(t.Errors), "from 0 to 1"),
+			tomlfile.Need("kind", len(t.Kind) > 0, "given"),
 		}); err != nil {
 			return err
 		}
@@ -270,10 +255,12 @@
 		}
 		if c := t.Choke; c != nil {
 			at += ".choke"
-			if err := firstBroken(f, []rule{
-				{at + ".at", c.At.Lo > 0, "over 0"}, {at + ".over", c.Over.Lo >= 100*time.Millisecond, "100ms at least"},
-				{at + ".slower", c.Slower.Lo >= 1, "1 at least"}, {at + ".below", share(c.Below), "from 0 to 1"},
-				{at + ".most", c.Most.Lo > 0, "over 0"},
+			if err := f.Check(at, []tomlfile.Must{
+				tomlfile.Need("at", c.At.Lo > 0, "over 0"),
+				tomlfile.Need("over", c.Over.Lo >= 100*time.Millisecond, "100ms at least"),
+				tomlfile.Need("slower", c.Slower.Lo >= 1, "1 at least"),
+				tomlfile.Need("below", share(c.Below), "from 0 to 1"),
+				tomlfile.Need("most", c.Most.Lo > 0, "over 0"),
 			}); err != nil {
 				return err
 			}
@@ -283,14 +270,14 @@
 }
 
 func (k *Kind) check(f *tomlfile.File, at string) error {
-	return firstBroken(f, []rule{
-		{at + ".name", k.Name != "", "a name"},
-		{at + ".share", k.Share > 0, "over 0"},
-		{at + ".cores", k.Cores >= 1 && k.Cores <= 1024, "from 1 to 1024"},
-		{at + ".speed", k.Speed.Lo > 0, "over 0"},
-		{at + ".slots", k.Slots.Lo > 0, "over 0"},
-		{at + ".room", k.Room.Lo >= 0, "0 at least"},
-		{at + ".cold_from", k.ColdFrom.Lo > 0 && share(k.ColdFrom), "over 0, and 1 at most"},
+	return f.Check(at, []tomlfile.Must{
+		tomlfile.Need("name", k.Name != "", "a name"),
+		tomlfile.Need("share", k.Share > 0, "over 0"),
+		tomlfile.Need("cores", k.Cores >= 1 && k.Cores <= 1024, "from 1 to 1024"),
+		tomlfile.Need("speed", k.Speed.Lo > 0, "over 0"),
+		tomlfile.Need("slots", k.Slots.Lo > 0, "over 0"),
+		tomlfile.Need("room", k.Room.Lo >= 0, "0 at least"),
+		tomlfile.Need("cold_from", k.ColdFrom.Lo > 0 && share(k.ColdFrom), "over 0, and 1 at most"),
 	})
 }
 
@@ -301,16 +288,16 @@
 	names := map[string]bool{}
 	for i, c := range d.Class {
 		at := fmt.Sprintf("class[%d]", i)
-		if err := firstBroken(f, []rule{
-			{at + ".name", plainName(c.Name) && !names[c.Name], "a name of its own, of letters, digits and -"},
-			{at + ".effect", c.Effect == "safe" || c.Effect == "keyed" || c.Effect == "unsafe", "safe, keyed or unsafe"},
-			{at + ".window", (c.Effect == "keyed") == (c.Window > 0), "given for a keyed class, and only there"},
-			{at + ".share", c.Share > 0, "over 0"},
-			{at + ".work", c.Work.Lo > 0, "over 0"},
-			{at + ".vary", c.Vary >= 0 && c.Vary <= 5, "from 0 to 5"},
-			{at + ".aim", c.Aim > 0 && c.Aim <= c.Deadline, "over 0, and the deadline at most"},
-			{at + ".deadline", c.Deadline <= time.Minute, "1m at most"},
-			{at + ".worth", c.Worth > 0, "over 0"},
+		if err := f.Check(at, []tomlfile.Must{
+			tomlfile.Need("name", plainName(c.Name) && !names[c.Name], "a name of its own, of letters, digits and -"),
+			tomlfile.Need("effect", c.Effect == "safe" || c.Effect == "keyed" || c.Effect == "unsafe", "safe, keyed or unsafe"),
+			tomlfile.Need("window", (c.Effect == "keyed") == (c.Window > 0), "given for a keyed class, and only there"),
+			tomlfile.Need("share", c.Share > 0, "over 0"),
+			tomlfile.Need("work", c.Work.Lo > 0, "over 0"),
+			tomlfile.Need("vary", c.Vary >= 0 && c.Vary <= 5, "from 0 to 5"),
+			tomlfile.Need("aim", c.Aim > 0 && c.Aim <= c.Deadline, "over 0, and the deadline at most"),
+			tomlfile.Need("deadline", c.Deadline <= time.Minute, "1m at most"),
+			tomlfile.Need("worth", c.Worth > 0, "over 0"),
 		}); err != nil {
 			return err
 		}
@@ -321,10 +308,10 @@
 	}
 	for i, t := range d.Tenant {
 		at := fmt.Sprintf("tenant[%d]", i)
-		if err := firstBroken(f, []rule{
-			{at + ".name", plainName(t.Name), "a name, of letters, digits and -"},
-			{at + ".share", t.Share > 0, "over 0"},
-			{at + ".usage", t.Usage.Lo > 0, "over 0"},
+		if err := f.Check(at, []tomlfile.Must{
+			tomlfile.Need("name", plainName(t.Name), "a name, of letters, digits and -"),
+			tomlfile.Need("share", t.Share > 0, "over 0"),
+			tomlfile.Need("usage", t.Usage.Lo > 0, "over 0"),
 		}); err != nil {
 			return err
 		}
@@ -347,16 +334,16 @@
 		at := fmt.Sprintf("trouble[%d]", i)
 		needs, ok := troubleKinds[t.Kind]
 		hows := map[string][]string{"restart": {"kill", "planned"}, "crash": {"", "same", "renamed"}, "drain": {"", "same", "renamed"}}[t.Kind]
-		if err := firstBroken(f, []rule{
-			{at + ".kind", ok, "slow, crash, drain, hang, reset, restart, roster-late, roster-down or surge"},
-			{at + ".at", f.Has(at+".at") && t.At.Hi < d.Length, "given, and before the day's end"},
-			{at + ".for", t.For.Lo > 0, "over 0"},
-			{at + ".share", share(t.Share) && (t.Share.Hi > 0) == (needs.nodes || needs.sidecars), "over 0 and 1 at most where nodes or sidecars are hit, and only there"},
-			{at + ".size", (t.Size.Lo > 0) == needs.size, "over 0 where the trouble has a size, and only there"},
-			{at + ".size", (t.Kind != "hang" && t.Kind != "reset") || t.Size.Hi <= 1, "a share of requests"},
-			{at + ".down", (t.Down.Hi > 0) == needs.down, "over 0 for drain and restart, and only there"},
-			{at + ".how", oneOf(t.How, hows), fmt.Sprintf("one of %q", hows)},
-			{at + ".tier", t.Tier == "" || needs.nodes && d.tier(t.Tier) >= 0, "the name of a tier, for a trouble of nodes"},
+		if err := f.Check(at, []tomlfile.Must{
+			tomlfile.Need("kind", ok, "slow, crash, drain, hang, reset, restart, roster-late, roster-down or surge"),
+			tomlfile.Need("at", f.Has(at+".at") && t.At.Hi < d.Length, "given, and before the day's end"),
+			tomlfile.Need("for", t.For.Lo > 0, "over 0"),
+			tomlfile.Need("share", share(t.Share) && (t.Share.Hi > 0) == (needs.nodes || needs.sidecars), "over 0 and 1 at most where nodes or sidecars are hit, and only there"),
+			tomlfile.Need("size", (t.Size.Lo > 0) == needs.size, "over 0 where the trouble has a size, and only there"),
+			tomlfile.Need("size", (t.Kind != "hang" && t.Kind != "reset") || t.Size.Hi <= 1, "a share of requests"),
+			tomlfile.Need("down", (t.Down.Hi > 0) == needs.down, "over 0 for drain and restart, and only there"),
+			tomlfile.Need("how", oneOf(t.How, hows), fmt.Sprintf("one of %q", hows)),
+			tomlfile.Need("tier", t.Tier == "" || needs.nodes && d.tier(t.Tier) >= 0, "the name of a tier, for a trouble of nodes"),
 		}); err != nil {
 			return err
 		}
@@ -365,12 +352,7 @@
 }
 
 func oneOf(s string, list []string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return s == "" && len(list) == 0
+	return slices.Contains(list, s) || s == "" && len(list) == 0
 }
 
 // tier finds a tier by its name; an empty name is the first.
--- a/internal/rehearse/plan.go
+++ b/internal/rehearse/plan.go
@@ -328,6 +328,14 @@
 	return min(math.Exp(rng.NormFloat64()*math.Sqrt(s2)-s2/2), workMost)
 }
 
+// longestDeadline is that of all classes.
+func (p *Plan) longestDeadline() (longest time.Duration) {
+	for _, c := range p.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // Rules are the figures that the referee holds a plan's day to.
 func (p *Plan) Rules() referee.Rules {
 	r := referee.Rules{MaxAttempts: p.Day.Rules.Attempts, Slack: p.Day.Rules.Slack, DrainGrace: p.Day.Rules.DrainGrace,
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -83,18 +83,15 @@
 	node   *standin.Node
 	member standin.Member
 	names  int
-	chokes []*standin.Node
+	all    []*standin.Node // that have run here
 }
 
 // outcome is what became of a first try and its retries.
 type outcome struct {
-	served  bool
-	took    time.Duration // since it was due, to its last answer
-	status  int           // of its last answer; 0: none
-	tries   int
-	dialed  int
-	late    time.Duration // the client's own
-	offered bool
+	served bool
+	took   time.Duration // since it was due, to its last answer
+	status int           // of its last answer; 0: none
+	tries  int
 }
 
 // Play plays a plan. When it returns, everything that it started has ended. An error means that the day could not be
@@ -164,9 +161,7 @@
 			cells[key] = standin.NewCell(window)
 		}
 		s := &site{plan: p, cell: cells[key]}
-		if err := s.make(w, p.Spec.ID, ""); err != nil {
-			return err
-		}
+		s.make(w, p.Spec.ID, "")
 		if _, err := s.node.Start(false); err != nil {
 			return err
 		}
@@ -196,7 +191,7 @@
 }
 
 // make puts a node that is down in its place, under an id.
-func (s *site) make(w *world, id, addr string) error {
+func (s *site) make(w *world, id, addr string) {
 	spec := s.plan.Spec
 	spec.ID = id
 	n := standin.NewNode(spec, w.plan.Classes, s.cell, w.desk, w.rec, s.plan.Seed)
@@ -205,8 +200,7 @@
 		n.Next = &next{w, s}
 	}
 	s.node = n
-	s.chokes = append(s.chokes, n)
-	return nil
+	s.all = append(s.all, n)
 }
 
 func member(n *standin.Node, state string, started time.Time) standin.Member {
@@ -329,15 +323,15 @@
 func (w *world) play(began resources) (*Result, error) {
 	start := time.Now()
 	dayStart := w.rec.Now()
-	watch := newWatch(w, start, dayStart)
+	watch := &watch{w: w, start: start, own: schedule.NewLatency()}
 	done := make(chan struct{})
 	var watching sync.WaitGroup
 	watching.Go(func() { watch.run(done) })
 	watching.Go(func() { watch.stalls(done) })
 	var strikes sync.WaitGroup
 	striking, calm := context.WithCancel(w.ctx)
-	for i, s := range w.plan.Strikes {
-		strikes.Go(func() { w.strike(striking, start, i, s) })
+	for _, s := range w.plan.Strikes {
+		strikes.Go(func() { w.strike(striking, start, s) })
 	}
 	arrivals := make([]schedule.Arrival, len(w.plan.Requests))
 	for i, q := range w.plan.Requests {
@@ -380,11 +374,7 @@
 
 // settle lets nodes finish what they have, for as long as the longest deadline, so that the rules are held to the end.
 func (w *world) settle() {
-	longest := time.Duration(0)
-	for _, c := range w.plan.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	for end := time.Now().Add(longest); time.Now().Before(end); {
+	for end := time.Now().Add(w.plan.longestDeadline()); time.Now().Before(end); {
 		busy := 0
 		for _, sites := range w.tiers {
 			for _, s := range sites {
@@ -402,7 +392,6 @@
 // client plays one first try and its retries.
 func (w *world) client(i int, due time.Time) {
 	q, o := &w.plan.Requests[i], &w.outs[i]
-	o.late, o.offered = time.Since(due), true
 	class := w.plan.Classes[q.Class]
 	end := due.Add(class.Deadline)
 	defer func() {
@@ -427,9 +416,6 @@
 		}
 		out := w.clients.Try(try)
 		o.tries++
-		if out.Dialed {
-			o.dialed++
-		}
 		o.status = out.Status
 		if out.Status == 200 {
 			o.served = true
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -1,8 +1,8 @@
 package rehearse
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -250,7 +250,7 @@
 		for _, s := range sites {
 			s.mu.Lock()
 			hit := false
-			for _, n := range s.chokes {
+			for _, n := range s.all {
 				tierOf[n.ID] = n.Tier
 				conns += n.Opened()
 				hit = hit || n.Choked()
@@ -350,12 +350,5 @@
 	r.Valid = len(r.Invalid) == 0
 }
 
-// Names of what a Result keeps by name, in order.
-func names[T any](m map[string]T) []string {
-	var out []string
-	for name := range m {
-		out = append(out, name)
-	}
-	slices.SortFunc(out, cmp.Compare[string])
-	return out
-}
+// names of what a Result keeps by name, in order.
+func names[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/rehearse/strike.go
+++ b/internal/rehearse/strike.go
@@ -12,7 +12,7 @@
 )
 
 // strike plays one trouble. When ctx ends, what would come later is left out.
-func (w *world) strike(ctx context.Context, start time.Time, n int, s Strike) {
+func (w *world) strike(ctx context.Context, start time.Time, s Strike) {
 	if !sleepCtx(ctx, time.Until(start.Add(s.At))) {
 		return
 	}
@@ -133,9 +133,7 @@
 	p.mu.Lock()
 	if how == "renamed" {
 		p.names++
-		if err := p.make(w, fmt.Sprintf("%s%s", p.plan.Spec.ID, strings.Repeat("'", p.names)), p.node.Addr); err != nil {
-			w.fail(err)
-		}
+		p.make(w, p.plan.Spec.ID+strings.Repeat("'", p.names), p.node.Addr)
 	}
 	began, err := p.node.Start(true)
 	p.member = member(p.node, standin.StateReady, began)
@@ -240,11 +238,7 @@
 		}
 	})
 	if s.How == "planned" {
-		longest := time.Duration(0)
-		for _, q := range w.plan.Classes {
-			longest = max(longest, q.Deadline)
-		}
-		p.term(min(longest, termMost) + termGrace)
+		p.term(min(w.plan.longestDeadline(), termMost) + termGrace)
 	} else {
 		p.kill()
 	}
--- a/internal/rehearse/watch.go
+++ b/internal/rehearse/watch.go
@@ -10,20 +10,11 @@
 
 // watch looks at a day while it is played: what is in hand at each node, and whether the rehearsal itself gets to run.
 type watch struct {
-	w        *world
-	start    time.Time
-	dayStart time.Duration
-	inHand   [][]int // by sample, by node of the plan
-	own      *schedule.Latency
-	worst    time.Duration
-}
-
-// stallLeast is a pause of the rehearsal's own that the timeline notes: as long as the rules' allowance, so that a limit
-// passed next to it can't be laid at a sidecar's door.
-func (w *world) stallLeast() time.Duration { return w.plan.Day.Rules.Slack }
-
-func newWatch(w *world, start time.Time, dayStart time.Duration) *watch {
-	return &watch{w: w, start: start, dayStart: dayStart, own: schedule.NewLatency()}
+	w      *world
+	start  time.Time
+	inHand [][]int // by sample, by node of the plan
+	own    *schedule.Latency
+	worst  time.Duration
 }
 
 // run samples until done closes.
@@ -52,7 +43,8 @@
 	}
 }
 
-// stalls measures how late a timer of the rehearsal's own comes, and notes pauses.
+// stalls measures how late a timer of the rehearsal's own comes, and notes pauses as long as the rules' allowance: a limit
+// passed next to one can't be laid at a sidecar's door.
 func (h *watch) stalls(done <-chan struct{}) {
 	for last := time.Now(); ; {
 		select {
@@ -65,7 +57,7 @@
 		last = now
 		h.own.Record(late)
 		h.worst = max(h.worst, late)
-		if late >= h.w.stallLeast() {
+		if late >= h.w.plan.Day.Rules.Slack {
 			h.w.rec.Add(referee.Event{Kind: referee.Stall, For: late})
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -188,11 +188,9 @@
 			c.literal, _ = free.LiteralPrefix()
 		}
 	}
-	for i, h := range r.Headers {
-		if c.Headers == nil || i == 0 {
-			c.Headers = slices.Clone(r.Headers)
-		}
-		c.Headers[i].Name = http.CanonicalHeaderKey(h.Name)
+	c.Headers = slices.Clone(r.Headers)
+	for i := range c.Headers {
+		c.Headers[i].Name = http.CanonicalHeaderKey(c.Headers[i].Name)
 	}
 	return c, nil
 }
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -53,11 +53,10 @@
 // Agent is discovery's end on a sidecar's own machine: it answers at once with what it has been sent, and is silent
 // while discovery is down.
 type Agent struct {
-	Sidecar  string
-	Addr     string
-	rec      *Recorder
-	server   *http.Server
-	listener net.Listener
+	Sidecar string
+	Addr    string
+	rec     *Recorder
+	server  *http.Server
 
 	mu      sync.Mutex
 	version int64
@@ -82,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Sidecar: sidecar, Addr: listener.Addr().String(), rec: rec, listener: listener, version: 1,
+	a := &Agent{Sidecar: sidecar, Addr: listener.Addr().String(), rec: rec, version: 1,
 		members: map[string]Member{}, news: make(chan struct{})}
 	for _, m := range list {
 		a.set(m)
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -55,9 +55,9 @@
 // line is one connection of a caller's.
 type line struct {
 	net.Conn
-	in            *bufio.Reader
-	sidecar, addr string
-	until         time.Time // it is not used any more; zero: for good
+	in      *bufio.Reader
+	sidecar string
+	until   time.Time // it is not used any more; zero: for good
 }
 
 // NewCaller makes a Caller that keeps at most most idle connections. slack is the rules' own on a try's time.
@@ -118,13 +118,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &line{Conn: nc, in: bufio.NewReader(nc), sidecar: name, addr: addr}, nil
+	return &line{Conn: nc, in: bufio.NewReader(nc), sidecar: name}, nil
 }
 
 // Try makes one try. It returns when the answer has come, the time is up or the connection has ended.
 func (c *Caller) Try(t Try) Outcome {
 	due := c.rec.Now() + t.Wait
-	c.desk.put(t.ID, ticket{job: t.Job, class: t.Class, key: t.Key, until: due})
+	c.desk.put(t.ID, ticket{job: t.Job, class: t.Class, key: t.Key})
 	var out Outcome
 	for again := true; ; again = false {
 		l := c.take()
@@ -151,7 +151,7 @@
 // once is false where a connection that had served before ended before anything came: a sidecar may close one between
 // requests, and the request is sent once more on a new one.
 func (c *Caller) once(l *line, t Try, due time.Duration, fresh bool, out *Outcome) bool {
-	asked := referee.Event{Kind: referee.Asked, Request: t.ID, Sidecar: l.sidecar, Class: t.Class, Key: t.Key, Until: due}
+	asked := referee.Event{Kind: referee.Asked, Request: t.ID, Sidecar: l.sidecar, Class: t.Class, Until: due}
 	c.rec.Add(asked) // before the write: what comes of it comes later
 	if _, err := io.WriteString(l, c.text(t, due)); err != nil {
 		l.Close()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -77,7 +77,6 @@
 	job   *Job
 	class int
 	key   string
-	until time.Duration
 }
 
 // Desk knows every request that was asked for, by its id. Ids are kept to the end of the day, since a late attempt must
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -69,6 +69,26 @@
 	return &Error{File: f.name, Line: line, Field: field, Problem: fmt.Sprintf(format, args...)}
 }
 
+// Must is one thing that has to hold of a field. Need makes one.
+type Must struct {
+	field string
+	ok    bool
+	be    string
+}
+
+// Need wants a field to be as described, and is told whether it is.
+func Need(field string, ok bool, be string) Must { return Must{field, ok, be} }
+
+// Check gives an Error for the first that does not hold. Fields are below under, which may be empty.
+func (f *File) Check(under string, list []Must) error {
+	for _, m := range list {
+		if !m.ok {
+			return f.Errorf(join(under, m.field), "must be %s", m.be)
+		}
+	}
+	return nil
+}
+
 // Has tells whether a field stands in the file.
 func (f *File) Has(field string) bool { return f.lines[field] > 0 }
 
