Rehearse with sidecars on operators' files (--serve)

Change: rehearse writes an operators' file for each sidecar and starts it with 'serve'; plain pickers stay on ROUTER_CONFIG.

--- a/cmd/tuliprock/command_test.go
+++ b/cmd/tuliprock/command_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// The same day with sidecars on operators' files has the same verdict.
+func TestARehearsalWithOperatorsFiles(t *testing.T) {
+	code, out, errs := run(t, program("rehearse", tiny(t), "--serve", "--json", "-"))
+	if code != 0 {
+		t.Fatalf("%d\n%s\n%s", code, out, errs)
+	}
+	var r struct {
+		Runs []struct {
+			Held, Valid bool
+			Whole       float64
+		}
+	}
+	if err := json.Unmarshal([]byte(out), &r); err != nil || len(r.Runs) != 1 || !r.Runs[0].Held || !r.Runs[0].Valid || r.Runs[0].Whole < 0.9 {
+		t.Errorf("%v: %+v", err, r)
+	}
+}
+
 func TestBadUsageStartsNothing(t *testing.T) {
 	bad := tiny(t, "cores = 2", "cores = 0")
 	for name, c := range map[string]struct {
--- a/cmd/tuliprock/rehearse.go
+++ b/cmd/tuliprock/rehearse.go
@@ -28,6 +28,7 @@
 	Demand  []float64     `sep:"," default:"1" help:"Times the day's demand; several are played one after another."`
 	Against []string      `sep:"," placeholder:"NAME,..." help:"Play the same with plain pickers too: random, round-robin, least-outstanding."`
 	Length  time.Duration `help:"Cut the day to this length; its troubles move along."`
+	Serve   bool          `help:"Start the sidecars with 'serve' on operators' files, in place of what the platform tells."`
 	Plan    bool          `help:"Print the drawn schedule, fleet and troubles as lines of JSON, and play nothing."`
 	JSON    string        `name:"json" placeholder:"FILE" help:"Write the whole result as JSON; -: standard output."`
 	Report  string        `placeholder:"FILE.html" help:"Write a page that opens offline."`
@@ -124,7 +125,7 @@
 	var results []*rehearse.Result
 	for _, plan := range plans {
 		for _, b := range balancers {
-			opt := rehearse.Options{Command: func() *exec.Cmd { return exec.Command(self) }}
+			opt := rehearse.Options{Command: func() *exec.Cmd { return exec.Command(self) }, Serve: c.Serve && b == rehearse.Module}
 			if b != rehearse.Module {
 				opt.Command = func() *exec.Cmd { return exec.Command(self, "plain", b) }
 			}
--- /dev/null
+++ b/internal/rehearse/operators.go
@@ -0,0 +1,56 @@
+package rehearse
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"tuliprock/internal/referee"
+)
+
+// Of a sidecar's descriptors, what the platform's daemon keeps for other things than connections.
+const otherSockets = 40
+
+// operatorsFile is what a sidecar of the day would be told by people instead of the platform: sidecar me of the n that
+// send to a tier.
+func (p *Plan) operatorsFile(name, listen, agent string, tier, me, n int, seed uint64) string {
+	var b strings.Builder
+	day, sidecars, rules := p.Day, p.Day.Sidecars, p.Day.Rules
+	each := max((sidecars.Sockets-otherSockets)/2, 8)
+	fmt.Fprintf(&b, "format = 1\n[daemon]\nname = %q\ndaemons = %d\nindex = %d\nseed = %d\ncores = %v\nmemory_mb = %d\n", name, n, me, seed>>1|1, float64(sidecars.Cores), sidecars.MemoryMB)
+	fmt.Fprintf(&b, "[[listener]]\nname = \"callers\"\naddress = %q\nconnections = %d\n", listen, each)
+	for i, c := range day.Class {
+		fmt.Fprintf(&b, "[[class]]\nname = %q\neffect = %q\naim = %q\ndeadline = %q\nid_missing = \"refuse\"\ndeadline_missing = \"refuse\"\n", c.Name, c.Effect, c.Aim, c.Deadline)
+		if p.Classes[i].Effect == referee.Keyed {
+			fmt.Fprintf(&b, "window = %q\ngroup = \"cell\"\n", c.Window)
+		}
+	}
+	for i, t := range day.Tenant {
+		if p.Quotas[i] > 0 {
+			fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %v\n", t.Name, p.Quotas[i])
+		}
+	}
+	coldFrom, coldFor := p.coldest()
+	fmt.Fprintf(&b, "[[pool]]\nname = %q\nagent = %q\nconnections = %d\ntier = %d\ntiers_below = %d\nattempts = %d\nretry_after_most = %q\ncold_from = %v\ncold_for = %q\n",
+		day.Tier[tier].Name, agent, each, tier, len(day.Tier)-1-tier, rules.Attempts, rules.MaxRetryAfter, coldFrom, coldFor)
+	for field, d := range map[string]time.Duration{"dial_timeout": rules.DialTimeout, "idle_timeout": day.Tier[tier].Idle.Lo} {
+		if d > 0 {
+			fmt.Fprintf(&b, "%s = %q\n", field, d)
+		}
+	}
+	for _, c := range day.Class {
+		fmt.Fprintf(&b, "[[route]]\npath_segments = %q\npool = %q\nclass = %q\n", "/"+c.Name+"/**", day.Tier[tier].Name, c.Name)
+	}
+	return b.String()
+}
+
+// coldest is the least share and the longest time of a cold start, over all kinds of nodes.
+func (p *Plan) coldest() (from float64, lasts time.Duration) {
+	from = 1
+	for _, t := range p.Day.Tier {
+		for _, k := range t.Kind {
+			from, lasts = min(from, k.ColdFrom.Lo), max(lasts, k.ColdFor.Hi)
+		}
+	}
+	return from, lasts
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -19,6 +19,7 @@
 // Options say how a plan is played.
 type Options struct {
 	Command  func() *exec.Cmd   // runs one sidecar
+	Serve    bool               // the command gets "serve --config FILE" and an operators' file; else ROUTER_CONFIG is set
 	Logs     string             // folder that keeps the sidecars' logs; empty: none are kept
 	Progress func(now Snapshot) // called some times a second, from one goroutine; nil: none
 }
@@ -251,6 +252,9 @@
 	if p.settings, err = w.plan.settingsFor(tier, me, n); err != nil {
 		return nil, err
 	}
+	if w.opt.Serve {
+		p.file = func(seed uint64) string { return w.plan.operatorsFile(name, p.addr, agent.Addr, tier, me, n, seed) }
+	}
 	life := uint64(0)
 	p.seeds = func() uint64 { life++; return w.hash(name, fmt.Sprint(life)) }
 	p.crashed = func(p *process) { w.front.Out(p.name) }
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -35,6 +35,7 @@
 	dir      string
 	command  func() *exec.Cmd
 	settings json.RawMessage
+	file     func(seed uint64) string // an operators' file in place of what the platform tells; nil: none
 	day      *Day
 	seeds    func() uint64
 	crashed  func(*process)
@@ -71,6 +72,23 @@
 	})
 }
 
+// told is the command of a life, and what that is told.
+func (p *process) told(known standin.List) (*exec.Cmd, error) {
+	cmd := p.command()
+	if p.file != nil {
+		path := filepath.Join(p.dir, p.name+".toml")
+		cmd.Args = append(cmd.Args, "serve", "--config", path)
+		return cmd, os.WriteFile(path, []byte(p.file(p.seeds())), 0o600)
+	}
+	text, err := p.configText(known)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(p.dir, p.name+".json")
+	cmd.Env = append(cmd.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+p.name, "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+p.agent.Addr)
+	return cmd, os.WriteFile(path, text, 0o600)
+}
+
 // start runs the program with the list that it was last told, and nothing else of its former life.
 func (p *process) start() error {
 	p.mu.Lock()
@@ -79,21 +97,15 @@
 		return nil
 	}
 	known := p.agent.Known()
-	text, err := p.configText(known)
+	cmd, err := p.told(known)
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(p.dir, p.name+".json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
-	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	cmd := p.command()
-	cmd.Env = append(cmd.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+p.name, "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+p.agent.Addr)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt at the terminal is ours to pass on
 	p.rec.Add(referee.Event{Kind: referee.Up, Sidecar: p.name})
