Turn away OPTIONS *, odd queries; Retry-After in seconds; measure isolation

Need: what reads two ways must reach nobody (net/http answered OPTIONS * by itself); ordinary callers read whole seconds (RFC 9110, 10.2.3); the isolation of pools had to be measured.

Change: queries are checked with the path; one form for hosts in check and daemon; retry_after says which form; options of hold and damp follow a reload; the daemon warns where the system grants too few descriptors. Tests of DNS and file members through the daemon, of targets, of the program serving its example.

Measured: p99 of a pool beside one whose nodes hang, five pairs: ratio 1.02 (1.00 to 1.02) at 16 callers of the hung pool, 1.11 (1.07 to 1.30) at 64; the same load on nodes that are well: 1.10 and 2.05, so it is the machine and not the jam.

--- a/cmd/tuliprock/check.go
+++ b/cmd/tuliprock/check.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("--route: the daemon answers 400: %w", err)
 	}
-	r := &route.Request{Host: strings.ToLower(u.Hostname()), Path: path, RawQuery: query, Method: method, Header: http.Header{}}
+	r := &route.Request{Host: route.Host(u.Host), Path: path, RawQuery: query, Method: method, Header: http.Header{}}
 	for _, h := range c.Headers {
 		name, value, ok := strings.Cut(h, ":")
 		if !ok {
@@ -100,6 +100,8 @@
 	for i, r := range f.Route {
 		fmt.Fprintf(t, "%s\t\t%s\tas %s\n", routeName(f, i), r.Pool, r.Class)
 	}
+	service := f.Service()
+	fmt.Fprintf(t, "descriptors\t\tup to %d\t\n", service.Descriptors())
 	t.Flush()
 	for _, s := range f.Table().Unreachable() {
 		fmt.Fprintf(&b, "warning: %s takes nothing: %s takes all that it would\n", routeName(f, s.Rule), routeName(f, s.By))
--- a/cmd/tuliprock/daemon.go
+++ b/cmd/tuliprock/daemon.go
@@ -81,6 +81,11 @@
 	}
 	log = log.With("name", c.Name)
 
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur < uint64(c.Descriptors()) {
+		log.Warn("the system grants fewer descriptors than the connections that the configuration allows", "granted", files.Cur, "allowed", c.Descriptors())
+	}
+
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	s, err := sidecar.StartWith(decide, c, log)
--- /dev/null
+++ b/cmd/tuliprock/serve_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // that no test should come near
+
+// spoken is what a program writes while it runs.
+type spoken struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *spoken) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(b)
+}
+
+func (s *spoken) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+func (s *spoken) await(t *testing.T, want string) {
+	t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(s.String(), want); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never said %q: %s", want, s)
+		}
+	}
+}
+
+// daemonRun is the program as it runs. It has ended when the test has.
+type daemonRun struct {
+	spoken
+	cmd   *exec.Cmd
+	ended func() error
+}
+
+func start(t *testing.T, args ...string) *daemonRun {
+	t.Helper()
+	s := &daemonRun{cmd: program(args...)}
+	s.cmd.Stderr = &s.spoken
+	if err := s.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.ended = sync.OnceValue(s.cmd.Wait)
+	t.Cleanup(func() {
+		_ = s.cmd.Process.Kill()
+		_ = s.ended()
+	})
+	return s
+}
+
+func (s *daemonRun) signal(t *testing.T, sig syscall.Signal) {
+	t.Helper()
+	if err := s.cmd.Process.Signal(sig); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// The example that ships serves, with the stand-in nodes that the README starts; a bad file changes nothing and is named
+// with its line; SIGTERM ends it well.
+func TestTheExampleServes(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen, a, b := freePort(t), freePort(t), freePort(t)
+	example := strings.NewReplacer("127.0.0.1:8080", listen, "127.0.0.1:9001", a, "127.0.0.1:9002", b).Replace(string(text))
+	path := filepath.Join(t.TempDir(), "ops.toml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(example)
+	start(t, "stand-in", a, b).await(t, b)
+	said := start(t, "serve", "--config", path)
+	said.await(t, "msg=listening")
+	ask := func() {
+		t.Helper()
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+		resp, err := client.Get("http://" + listen + "/item/42")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if text, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || !strings.Contains(string(text), "GET /item/42") {
+			t.Errorf("%s: %s", resp.Status, text)
+		}
+	}
+	ask()
+	write(strings.Replace(example, `effect = "safe"`, `effect = "harmless"`, 1))
+	said.signal(t, syscall.SIGHUP)
+	said.await(t, "the new configuration is not taken up")
+	if !strings.Contains(said.String(), "ops.toml:") || !strings.Contains(said.String(), "class[0].effect") {
+		t.Errorf("the fault is not named: %s", said.String())
+	}
+	ask()
+	write(example)
+	said.signal(t, syscall.SIGHUP)
+	said.await(t, "the new configuration is in force")
+	ask()
+	said.signal(t, syscall.SIGTERM)
+	if err := said.ended(); err != nil {
+		t.Errorf("ended with %v: %s", err, said.String())
+	}
+}
+
+func TestBadUsageOfServe(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no file":        {"serve"},
+		"no such file":   {"serve", "--config", "nowhere.toml"},
+		"not loopback":   {"stand-in", "10.0.0.1:80"},
+		"not an address": {"stand-in", "here"},
+	} {
+		if code, out, errs := run(t, program(args...)); code != 2 || out != "" || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: %d, %q, %q", name, code, out, errs)
+		}
+	}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -49,6 +49,7 @@
 	IdleTimeout  time.Duration `toml:"idle_timeout"`
 	WriteTimeout time.Duration `toml:"write_timeout"`
 	Forwarded    string        `toml:"forwarded"`
+	RetryAfter   string        `toml:"retry_after"` // "seconds" (RFC 9110) or "fraction"
 
 	Raw bool // targets are matched and go on as they came: the platform's way, which a file can't ask for
 }
@@ -221,7 +222,7 @@
 // defaultListener has the times and sizes that the platform's daemon was measured with.
 func defaultListener() Listener {
 	return Listener{Connections: defaultConnections, HeadBytes: defaultHead, BodyBytes: defaultBody, HeadTimeout: 1500 * time.Millisecond,
-		BodyTimeout: time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, Forwarded: "set"}
+		BodyTimeout: time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, Forwarded: "set", RetryAfter: "seconds"}
 }
 
 // fill puts defaults where the file says nothing. A zero that it does say stays, and is checked.
@@ -243,6 +244,7 @@
 		set(here+"idle_timeout", func() { l.IdleTimeout = otherwise.IdleTimeout })
 		set(here+"write_timeout", func() { l.WriteTimeout = otherwise.WriteTimeout })
 		or(&l.Forwarded, otherwise.Forwarded)
+		or(&l.RetryAfter, otherwise.RetryAfter)
 	}
 	for i := range f.Class {
 		c, here := &f.Class[i], fmt.Sprintf("class[%d].", i)
@@ -320,6 +322,7 @@
 			tomlfile.Need("idle_timeout", l.IdleTimeout > 0, "over 0"),
 			tomlfile.Need("write_timeout", l.WriteTimeout > 0, "over 0"),
 			tomlfile.Need("forwarded", slices.Contains([]string{"set", "append", "drop", "leave"}, l.Forwarded), `"set", "append", "drop" or "leave"`),
+			tomlfile.Need("retry_after", l.RetryAfter == "seconds" || l.RetryAfter == "fraction", `"seconds" or "fraction"`),
 		}); err != nil {
 			return err
 		}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -43,6 +43,18 @@
 	Damp    time.Duration // how long a member that flaps must be listed before it counts, at first
 }
 
+// Descriptors is how many files and connections the daemon may have open at most.
+func (s *Service) Descriptors() int {
+	sum := otherDescriptors
+	for _, l := range s.Listeners {
+		sum += l.Connections + SpareCallers
+	}
+	for _, p := range s.Pools {
+		sum += p.Connections
+	}
+	return sum
+}
+
 // Target is where a rule leads.
 type Target struct {
 	Pool, Tenant    string
@@ -95,7 +107,7 @@
 		return Service{}, fmt.Errorf("settings: %w", err)
 	}
 	l := defaultListener()
-	l.Name, l.Address, l.Connections, l.Forwarded, l.Raw = platformPool, c.Listen, each, "leave", true
+	l.Name, l.Address, l.Connections, l.Forwarded, l.RetryAfter, l.Raw = platformPool, c.Listen, each, "leave", "fraction", true
 	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, OnlyOK: true,
 		Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
 	return Service{Name: c.Name, Limits: c.Limits, Listeners: []Listener{l}, Pools: []PoolSpec{pool}, Table: table, Targets: targets}, nil
--- a/internal/discovery/polled.go
+++ b/internal/discovery/polled.go
@@ -55,6 +55,9 @@
 	return &Keeper{membership.New(o), time.Now().Add(-time.Second)}
 }
 
+// Set changes the options for what is heard from now on. No source with this Keeper may run.
+func (k *Keeper) Set(o membership.Options) { k.keeper.Set(o) }
+
 // newPolled makes a Polled. deliver takes each list that differs from the one before, whole; failed takes failed asks.
 // Of all that share a Keeper one at most may run.
 func newPolled(what string, k *Keeper, ask func(context.Context) (answer, error), deliver func(Members), failed func(), log *slog.Logger) *Polled {
--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -164,3 +164,14 @@
 		}
 	}
 }
+
+func TestAdviceIsNeverEarly(t *testing.T) {
+	for after, want := range map[time.Duration][2]string{300 * time.Millisecond: {"1", "0.300"}, time.Second: {"1", "1.000"}, 1001 * time.Millisecond: {"2", "1.001"}} {
+		for i, fractions := range []bool{false, true} {
+			s := New(Options{Fractions: fractions}, &Current{}, nil)
+			if got := s.advice(after); got != want[i] {
+				t.Errorf("%v: %s, want %s", after, got, want[i])
+			}
+		}
+	}
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -124,7 +123,7 @@
 // route finds where a request goes, and as what target. A class that nobody named must reach neither the module nor an
 // endpoint: nobody knows what repeating it may do.
 func (s *Server) route(service *Service, r *http.Request) (*Target, string, *bad) {
-	m := route.Request{Method: r.Method, Header: r.Header, Host: hostName(r.Host)}
+	m := route.Request{Method: r.Method, Header: r.Header, Host: route.Host(r.Host)}
 	var err error
 	switch {
 	case s.o.Raw && !isTarget(r.RequestURI):
@@ -163,14 +162,6 @@
 	return t.Replace + rest
 }
 
-// hostName is a Host header's name as routes have it.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(strings.TrimSuffix(host, "."))
-}
-
 // isTarget tells whether a request's target is a path that can go on to an endpoint as it is.
 func isTarget(target string) bool {
 	return strings.HasPrefix(target, "/") && !strings.ContainsFunc(target, func(c rune) bool { return c <= ' ' || c > '~' })
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,7 @@
 	HeadTimeout, BodyTimeout, IdleTimeout, WriteTimeout time.Duration
 	Forwarded                                           Forwarded
 	Pseudonym                                           string // in Via
+	Fractions                                           bool   // Retry-After has them; else whole seconds (RFC 9110, 10.2.3)
 	Raw                                                 bool   // targets are matched and go on as they came, and answers' headers don't
 }
 
@@ -64,7 +66,7 @@
 
 // HTTP is the server to run on a Listener, whose Track it must be given.
 func (s *Server) HTTP(track func(net.Conn, http.ConnState)) *http.Server {
-	return &http.Server{Handler: s, ReadHeaderTimeout: s.o.HeadTimeout, IdleTimeout: s.o.IdleTimeout, MaxHeaderBytes: s.o.Head,
+	return &http.Server{Handler: s, DisableGeneralOptionsHandler: true, ReadHeaderTimeout: s.o.HeadTimeout, IdleTimeout: s.o.IdleTimeout, MaxHeaderBytes: s.o.Head,
 		ConnState: track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
@@ -136,7 +138,7 @@
 		s.copyHeader(h, reply.Answer.Header)
 	}
 	if reply.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(reply.RetryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", s.advice(reply.RetryAfter))
 	}
 	switch {
 	case status == http.StatusNoContent || status == http.StatusNotModified:
@@ -152,6 +154,14 @@
 	_, _ = w.Write(body)
 }
 
+// advice is when to return, never earlier than the module says.
+func (s *Server) advice(after time.Duration) string {
+	if s.o.Fractions {
+		return strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(after.Seconds())))
+}
+
 // copyHeader gives an endpoint's headers on: what kind of answer it is, or all but those of the connection.
 func (s *Server) copyHeader(to, from http.Header) {
 	to["Content-Type"] = nil // else net/http would guess one
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -60,6 +60,9 @@
 	return &Keeper{o: o, heard: map[string]Member{}, inForce: map[string]Listed{}, flaps: map[string]*flap{}}
 }
 
+// Set changes the options.
+func (k *Keeper) Set(o Options) { k.o = o }
+
 // Heard takes a whole answer and tells whether the list in force has changed. Of members with the same id the first counts.
 func (k *Keeper) Heard(now time.Duration, members []Member) (changed bool) {
 	if len(members) == 0 {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -205,3 +205,12 @@
 		}
 	})
 }
+
+func TestOptionsMayChange(t *testing.T) {
+	k := New(Options{Hold: time.Hour})
+	k.Heard(0, of("a"))
+	k.Set(Options{Hold: time.Second})
+	if !k.Failed(time.Second) {
+		t.Error("the old time holds")
+	}
+}
--- a/internal/route/normal.go
+++ b/internal/route/normal.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"strings"
 )
 
@@ -9,7 +10,7 @@
 // routed in one and served in the other.
 var (
 	ErrNotPath   = errors.New("the target is no absolute path")
-	ErrCharacter = errors.New("the path has a character that must be encoded")
+	ErrCharacter = errors.New("the target has a character that must be encoded")
 	ErrEscape    = errors.New("the path has a malformed or ambiguous percent-encoding")
 	ErrSegment   = errors.New("the path has an empty segment, or a parameter")
 	ErrAbove     = errors.New("the path leads above its root")
@@ -17,7 +18,7 @@
 
 // Normalize brings a request's target into the one form that is matched and passed on: percent-encoded unreserved
 // characters decoded and other encodings in capitals (RFC 3986, 6.2.2.1 and 6.2.2.2), dot segments removed (5.2.4). The
-// query, without its "?", is returned as it came. A target that servers read differently is an error: encoded slashes,
+// query, without its "?", is returned as it came, and must be of characters that may stand in a target. A target that servers read differently is an error: encoded slashes,
 // backslashes and NULs, empty segments within, and parameters (";"), which some strip and others don't.
 //
 // A path that is in normal form already is returned as it is, without allocation.
@@ -26,6 +27,11 @@
 	if path == "" || path[0] != '/' {
 		return "", "", ErrNotPath
 	}
+	for i := range len(query) {
+		if c := query[i]; c <= ' ' || c > '~' || c == '#' {
+			return "", "", ErrCharacter
+		}
+	}
 	plain, err := check(path)
 	if err != nil || plain {
 		return path, query, err
@@ -37,6 +43,14 @@
 	return path, query, err
 }
 
+// Host brings a Host header into the form that rules have it in: in small letters, without port and final dot.
+func Host(header string) string {
+	if name, _, err := net.SplitHostPort(header); err == nil {
+		header = name
+	}
+	return strings.ToLower(strings.TrimSuffix(strings.Trim(header, "[]"), "."))
+}
+
 // check tells whether a path is in normal form already.
 func check(path string) (plain bool, err error) {
 	plain = true
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -351,3 +351,20 @@
 		}
 	}
 }
+
+func TestHostsAreBroughtIntoOneForm(t *testing.T) {
+	for header, want := range map[string]string{"A.Example:80": "a.example", "a.example.": "a.example", "a.example.:8": "a.example", "[::1]:80": "::1",
+		"[::1]": "::1", "": "", "10.0.0.1": "10.0.0.1"} {
+		if got := Host(header); got != want {
+			t.Errorf("%q: %q, want %q", header, got, want)
+		}
+	}
+}
+
+func TestQueriesAreOfPlainCharacters(t *testing.T) {
+	for target, ok := range map[string]bool{"/a?b=%20&c=/?": true, "/a?b#c": false, "/a?\xff": false, "/a? ": false} {
+		if _, _, err := Normalize(target); (err == nil) != ok {
+			t.Errorf("%q: %v", target, err)
+		}
+	}
+}
--- a/internal/sidecar/isolation_test.go
+++ b/internal/sidecar/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -74,6 +75,10 @@
 	var hung []string
 	for range 4 {
 		e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+			if os.Getenv("CONTROL") != "" { // the same load on nodes that are well
+				io.WriteString(nc, testpeer.Served)
+				return true
+			}
 			nc.Read(make([]byte, 1)) // until the daemon gives it up
 			return false
 		})
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -41,7 +41,7 @@
 	l := &listener{spec: spec, via: via, socket: socket, served: make(chan struct{}),
 		conns: front.NewListener(limited, spec.Connections, spec.HeadTimeout)}
 	l.callers = front.New(front.Options{Head: spec.HeadBytes, Body: spec.BodyBytes, HeadTimeout: spec.HeadTimeout, BodyTimeout: spec.BodyTimeout,
-		IdleTimeout: spec.IdleTimeout, WriteTimeout: spec.WriteTimeout, Forwarded: front.Forwarded(spec.Forwarded), Pseudonym: via, Raw: spec.Raw},
+		IdleTimeout: spec.IdleTimeout, WriteTimeout: spec.WriteTimeout, Forwarded: front.Forwarded(spec.Forwarded), Pseudonym: via, Fractions: spec.RetryAfter == "fraction", Raw: spec.Raw},
 		current, log)
 	l.server = l.callers.HTTP(l.conns.Track)
 	return l
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -35,7 +35,7 @@
 
 // newPool starts a pool. The module hears its first list before anything else.
 func newPool(decide core.Decider, spec config.PoolSpec, log *slog.Logger) *pool {
-	p := &pool{spec: spec, log: log, keeper: discovery.NewKeeper(membership.Options{Hold: spec.Source.Hold, Damp: spec.Source.Damp})}
+	p := &pool{spec: spec, log: log, keeper: discovery.NewKeeper(membership.Options{})}
 	settings := spec.Settings
 	if settings.Seed == 0 {
 		settings.Seed = drawSeed()
@@ -80,6 +80,7 @@
 	if p.leave != nil {
 		p.leave()
 	}
+	p.keeper.Set(membership.Options{Hold: s.Hold, Damp: s.Damp})
 	source := p.newSource(s)
 	if p.spec.Settings.MustSubscribe { // the module asked at its start, when there was nobody to ask
 		source.Subscribe()
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -10,12 +10,19 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"tuliprock/internal/config"
+	"tuliprock/internal/core"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/standin"
 	"tuliprock/internal/testpeer"
 )
 
@@ -410,3 +417,137 @@
 		t.Errorf("the other pool: %q", text)
 	}
 }
+
+// What could be routed one way and served another is turned away before any route is looked at.
+func TestTargetsThatReadTwoWaysAreTurnedAway(t *testing.T) {
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := serve(t, service(t, listen1+poolOf("a", e.Addr)+one))
+	for name, text := range map[string]string{
+		"two hosts":          "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		"no host":            "GET / HTTP/1.1\r\n\r\n",
+		"a whole URL":        "GET http://a/ HTTP/1.1\r\nHost: b\r\n\r\n",
+		"an authority":       "CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n",
+		"an asterisk":        "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
+		"an empty segment":   "GET /a//b HTTP/1.1\r\nHost: a\r\n\r\n",
+		"an encoded slash":   "GET /a%2Fb HTTP/1.1\r\nHost: a\r\n\r\n",
+		"encoded twice":      "GET /a%252fb HTTP/1.1\r\nHost: a\r\n\r\n",
+		"above the root":     "GET /a/%2e%2e/../b HTTP/1.1\r\nHost: a\r\n\r\n",
+		"a parameter":        "GET /a;x HTTP/1.1\r\nHost: a\r\n\r\n",
+		"a backslash":        "GET /a\\b HTTP/1.1\r\nHost: a\r\n\r\n",
+		"a fragment":         "GET /a?b#c HTTP/1.1\r\nHost: a\r\n\r\n",
+		"chunks":             "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"an over-long id":    "GET / HTTP/1.1\r\nHost: a\r\nReq-Id: " + strings.Repeat("x", 300) + "\r\n\r\n",
+		"an endless wait":    "GET / HTTP/1.1\r\nHost: a\r\nReq-Deadline-Ms: 99999999\r\n\r\n",
+		"a deadline of none": "GET / HTTP/1.1\r\nHost: a\r\nReq-Deadline-Ms:\r\n\r\n",
+	} {
+		nc, err := net.Dial("tcp", s.at("one"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(testpeer.Patience))
+		io.WriteString(nc, text)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil || resp.StatusCode < 400 || resp.StatusCode > 499 || resp.StatusCode == http.StatusTooManyRequests {
+			t.Errorf("%s: %+v, %v", name, resp, err)
+		}
+		nc.Close()
+	}
+	if n := e.Requests.Load(); n != 0 {
+		t.Errorf("%d of them reached the endpoint", n)
+	}
+	if resp, _ := get(t, s.at("one"), "a", "/?x=/../;//"); resp.StatusCode != http.StatusOK {
+		t.Errorf("a good request afterwards: %s", resp.Status)
+	}
+}
+
+// Members by DNS and by file, from the daemon's side: the list that changes is served by, and what fails leaves it standing.
+func TestMembersComeFromDNSAndFiles(t *testing.T) {
+	a, b := echo(t, "A"), echo(t, "B")
+	names, err := standin.NewDNS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(names.Close)
+	list := filepath.Join(t.TempDir(), "members.json")
+	write := func(addr string) {
+		if err := os.WriteFile(list+".new", fmt.Appendf(nil, `{"format":1,"members":[{"address":%q}]}`, addr), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(list+".new", list); err != nil {
+			t.Fatal(err)
+		}
+	}
+	point := func(addr string) {
+		_, port, _ := net.SplitHostPort(addr)
+		n, _ := strconv.Atoi(port)
+		names.Set("host.example", standin.DNSRecord{Address: netip.MustParseAddr("127.0.0.1")})
+		names.Set("_web._tcp.example", standin.DNSRecord{Service: "host.example", Port: uint16(n)})
+	}
+	write(a)
+	point(a)
+	s := serve(t, service(t, listen1+fmt.Sprintf(`
+		[[pool]]
+		name = "file"
+		file = %q
+		cold_for = "0s"
+		[[pool]]
+		name = "dns"
+		cold_for = "0s"
+		dns = { name = "_web._tcp.example", type = "srv", server = %q, ttl_least = "100ms", ttl_most = "100ms" }
+		[[route]]
+		path = "/file"
+		pool = "file"
+		class = "look"
+		[[route]]
+		path = "/dns"
+		pool = "dns"
+		class = "look"
+		`, list, names.Addr)))
+	served := func(path, name string) bool {
+		_, text := get(t, s.at("one"), "h", path)
+		return strings.HasPrefix(text, name+" ")
+	}
+	for _, path := range []string{"/file", "/dns"} {
+		if !served(path, "A") {
+			t.Errorf("%s is not served by A", path)
+		}
+	}
+	names.Go(standin.DNSServfail, 0)
+	if err := os.Remove(list); err != nil {
+		t.Fatal(err)
+	}
+	asked := names.Asked.Load()
+	testpeer.Until(t, "DNS fails", func() bool { return names.Asked.Load() > asked+1 })
+	for _, path := range []string{"/file", "/dns"} {
+		if !served(path, "A") {
+			t.Errorf("%s is not served by A any more", path)
+		}
+	}
+	names.Go(standin.DNSWell, 0)
+	write(b)
+	point(b)
+	for _, path := range []string{"/file", "/dns"} {
+		testpeer.Until(t, path+" is served by B", func() bool { return served(path, "B") })
+	}
+}
+
+// What a pool of real parts does with a list that changes by one member.
+func BenchmarkPoolUpdate(b *testing.B) {
+	for _, n := range []int{10, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var list []discovery.Member
+			for i := range n + 1 {
+				list = append(list, discovery.Member{ID: fmt.Sprint("n", i), Addr: fmt.Sprintf("127.%d.%d.%d:80", 1+i>>16, i>>8&255, i&255)})
+			}
+			spec := config.PoolSpec{Name: "p", Connections: 10, Source: config.SourceSpec{Members: []config.Member{{ID: "x", Address: "127.0.0.1:1"}}}}
+			p := newPool(core.Module, spec, slog.New(slog.DiscardHandler))
+			defer p.end()
+			done := make(chan bool)
+			for i := 0; b.Loop(); i++ {
+				p.deliver(discovery.Members{Full: true, Servers: list[:n+i%2]})
+				p.loop.Post(func(time.Duration) { done <- true })
+				<-done
+			}
+		})
+	}
+}
