A pool that another takes over from hears who drains

Need: a reload that changed a pool's settings and drained a member left the old pool, with requests still in hand, without the word: a resend could go there later than 500 ms after it.

Change: all pools of a name that have not ended follow the members that are told. check says where members come from.

--- a/cmd/tuliprock/check.go
+++ b/cmd/tuliprock/check.go
@@ -95,7 +95,7 @@
 		fmt.Fprintf(t, "tenant\t%s\t\t%v requests a second\n", n.Name, n.Quota)
 	}
 	for _, p := range f.Pool {
-		fmt.Fprintf(t, "pool\t%s\t%d members\t%d attempts at most\n", p.Name, len(p.Member), p.Attempts)
+		fmt.Fprintf(t, "pool\t%s\t%s\t%d attempts at most\n", p.Name, membersFrom(&p), p.Attempts)
 	}
 	for i, r := range f.Route {
 		fmt.Fprintf(t, "%s\t\t%s\tas %s\n", routeName(f, i), r.Pool, r.Class)
@@ -113,6 +113,19 @@
 	return err
 }
 
+// membersFrom says where a pool's members come from.
+func membersFrom(p *config.Pool) string {
+	switch {
+	case p.File != "":
+		return "members in " + p.File
+	case p.DNS != nil:
+		return "members by DNS, " + p.DNS.Name
+	case p.Agent != "":
+		return "members from the agent at " + p.Agent
+	}
+	return fmt.Sprintf("%d members", len(p.Member))
+}
+
 // sharedAddresses finds members that are one machine under two names or in two pools: each pool knows only its own calls.
 func sharedAddresses(f *config.File) (notes []string) {
 	first := map[string]string{}
--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -175,3 +175,13 @@
 		}
 	}
 }
+
+func TestPrefixesAreReplaced(t *testing.T) {
+	for _, c := range [][4]string{{"/api/", "/", "/api/x", "/x"}, {"/api", "/", "/api/x", "/x"}, {"/api", "/v1", "/api/x", "/v1/x"}, {"/api", "/v1/", "/api", "/v1/"},
+		{"/api/", "/v1/", "/api/", "/v1/"}, {"/api", "", "/api/x", "/api/x"}} {
+		target := Target{Prefix: c[0], Replace: c[1]}
+		if got := target.rewrite(c[2]); got != c[3] {
+			t.Errorf("%s for %s in %s: %s, want %s", c[1], c[0], c[2], got, c[3])
+		}
+	}
+}
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -303,6 +303,49 @@
 	}
 }
 
+// A pool that another takes over from hears who drains, too: a request that it still has must not go there.
+func TestAPoolTakenOverHearsWhoDrains(t *testing.T) {
+	const declines = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+	came, release := make(chan int, 10), make(chan bool)
+	var nodes [2]*testpeer.Endpoint
+	for i := range nodes {
+		nodes[i] = testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+			came <- i
+			<-release
+			io.WriteString(nc, declines)
+			return true
+		})
+	}
+	file := func(attempts int, states ...string) string {
+		text := fmt.Sprintf("[[pool]]\nname = \"a\"\nattempts = %d\n", attempts)
+		for i, state := range states {
+			text += fmt.Sprintf("[[pool.member]]\naddress = %q\nstate = %q\n", nodes[i].Addr, state)
+		}
+		return listen1 + text + one
+	}
+	s := serve(t, service(t, file(3, "ready", "ready")))
+	ended := make(chan bool)
+	go func() {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+s.at("one")+"/", nil)
+		r.Header.Set("Req-Deadline-Ms", "1500")
+		do(t, r)
+		close(ended)
+	}()
+	first := <-came
+	states := []string{"draining", "draining"}
+	states[first] = "ready"
+	old := s.present.pools["a"]
+	s.reload(t, file(4, states...))
+	if s.present.pools["a"] == old {
+		t.Fatal("the pool was not taken over from")
+	}
+	close(release)
+	<-ended
+	if n := nodes[1-first].Requests.Load(); n != 0 {
+		t.Errorf("%d requests came to the one that drains", n)
+	}
+}
+
 func TestABadReloadChangesNothing(t *testing.T) {
 	a := echo(t, "A")
 	s := serve(t, service(t, listen1+poolOf("a", a)+one))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,6 +39,7 @@
 	present   *installed
 	listeners map[string]*listener // by place
 	leaving   map[*listener]bool   // taken out, and not ended yet
+	running   map[*pool]bool       // in force, or taken out and not ended yet
 }
 
 // installed is a configuration that is, or was, in force.
@@ -55,7 +56,8 @@
 // StartWith is Start with another decider in the module's place, behind the same sockets: what the module gains shows
 // only beside others.
 func StartWith(decide core.Decider, c config.Service, log *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{decide: decide, log: log, failed: make(chan error, 1), listeners: map[string]*listener{}, leaving: map[*listener]bool{}}
+	s := &Sidecar{decide: decide, log: log, failed: make(chan error, 1), listeners: map[string]*listener{}, leaving: map[*listener]bool{},
+		running: map[*pool]bool{}}
 	if err := s.Reload(c); err != nil {
 		return nil, err
 	}
@@ -86,7 +88,8 @@
 	return nil
 }
 
-// install builds what a configuration needs, with the pools that can go on. s.mu is held.
+// install builds what a configuration needs, with the pools that can go on. One that another takes over from still has
+// requests, and must hear like that other who drains or is gone. s.mu is held.
 func (s *Sidecar) install(c config.Service) *installed {
 	next := &installed{pools: make(map[string]*pool, len(c.Pools))}
 	for _, spec := range c.Pools {
@@ -94,10 +97,14 @@
 		if s.present != nil {
 			p = s.present.pools[spec.Name]
 		}
-		if p != nil && p.goesOnAs(spec) {
-			p.update(spec.Source)
-		} else {
+		for was := range s.running {
+			if was.spec.Name == spec.Name {
+				was.update(spec.Source)
+			}
+		}
+		if p == nil || !p.goesOnAs(spec) {
 			p = newPool(s.decide, spec, s.log.With("pool", spec.Name))
+			s.running[p] = true
 		}
 		p.users++
 		next.pools[spec.Name] = p
@@ -115,6 +122,7 @@
 		for _, p := range was.pools {
 			if p.users--; p.users == 0 {
 				unused = append(unused, p)
+				delete(s.running, p)
 			}
 		}
 		s.mu.Unlock()
