tuliprock load: open-loop load, latency from when each request was due

Change: internal/loadgen sends a stream of arrivals at their instants, counts what finds no connection as not sent, measures its own lateness and says when a run is not valid; results are written whole and joined exactly. upstream can open a connection rather than wait for one that rests (pools of an operators' file do).

--- a/cmd/tuliprock/command.go
+++ b/cmd/tuliprock/command.go
@@ -19,6 +19,7 @@
 	Rehearse rehearseCommand `cmd:"" help:"Play a day on this machine, with stand-ins and real sidecars, and say whether each rule held."`
 	Serve    serveCommand    `cmd:"" help:"Serve as an operators' file says, until SIGTERM. SIGHUP reads the file again."`
 	Check    checkCommand    `cmd:"" help:"Check an operators' file, and say what was understood."`
+	Load     loadCommand     `cmd:"" help:"Send load on an open-loop schedule, and count latency from when each request was due."`
 	StandIn  standInCommand  `cmd:"" name:"stand-in" help:"Nodes on loopback that say which request came to them, to try a daemon with."`
 	Plain    plainCommand    `cmd:"" hidden:"" help:"The daemon with a textbook picker in the module's place, for rehearsals."`
 }
--- a/cmd/tuliprock/command_test.go
+++ b/cmd/tuliprock/command_test.go
@@ -15,6 +15,10 @@
 const programEnv = "TULIPROCK_TEST_PROGRAM"
 
 func TestMain(m *testing.M) {
+	if what := os.Getenv(peerEnv); what != "" {
+		peer(what)
+		os.Exit(1)
+	}
 	if os.Getenv(programEnv) != "" {
 		main()
 		os.Exit(0)
--- /dev/null
+++ b/cmd/tuliprock/load.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"tuliprock/internal/loadgen"
+	"tuliprock/internal/schedule"
+)
+
+type loadCommand struct {
+	Send  loadSendCommand  `cmd:"" default:"withargs" help:"Send load (the default)."`
+	Merge loadMergeCommand `cmd:"" help:"Join the results of several runs, exactly."`
+}
+
+// Bounds of a run, so that a slip of the hand can't send more than was meant.
+const (
+	loadMostRate        = 100_000
+	loadMostFor         = 24 * time.Hour
+	loadMostConnections = 20_000
+)
+
+type loadSendCommand struct {
+	Target      string        `required:"" placeholder:"URL" help:"Where to; {n} in it is the request's number."`
+	Rate        float64       `default:"100" help:"Requests a second."`
+	For         time.Duration `default:"10s" help:"How long to send."`
+	Gaps        string        `default:"poisson" enum:"poisson,even,pareto,on-off" help:"How requests follow one another: ${enum}."`
+	Wait        time.Duration `default:"5s" help:"How long an answer is waited for, from when its request was due."`
+	Connections int           `default:"1000" help:"Requests out at once; those beyond are counted as not sent."`
+	Seed        uint64        `default:"1" help:"Draws the schedule."`
+	Method      string        `default:"GET" help:"Of the requests."`
+	Headers     []string      `name:"header" short:"H" sep:"none" placeholder:"'NAME: VALUE'" help:"A header of the requests; may be repeated."`
+	Body        string        `help:"Of the requests."`
+	MayLoad     string        `name:"i-may-load" placeholder:"HOST" help:"The host of the target, in full, if it is not on loopback."`
+	JSON        string        `name:"json" placeholder:"FILE" help:"Write the whole result as JSON; -: standard output."`
+}
+
+var gapsByName = map[string]schedule.Gaps{"poisson": schedule.Exponential, "even": schedule.Even, "pareto": schedule.Pareto, "on-off": schedule.OnOff}
+
+// Run implements kong's command. Exit code 0: the run is valid; 1: it is not, or was interrupted; 2: nothing was sent.
+func (c *loadSendCommand) Run() error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	header := http.Header{}
+	for _, h := range c.Headers {
+		name, value, ok := strings.Cut(h, ":")
+		if !ok {
+			return fmt.Errorf("--header: %q has no colon", h)
+		}
+		header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	request, err := loadgen.Simple(c.Method, c.Target, header, []byte(c.Body))
+	if err != nil {
+		return fmt.Errorf("--target: %w", err)
+	}
+	log.SetOutput(io.Discard) // net/http tells there of servers that send what nobody asked for
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	send := loadgen.NewHTTP(request, c.Connections, nil)
+	defer send.Close()
+	r, err := loadgen.Run(ctx, loadgen.Options{
+		Process: schedule.Process{Rate: schedule.Steady(c.Rate), Gaps: gapsByName[c.Gaps], Tail: 1.5, On: time.Second, Off: time.Second},
+		Seed:    c.Seed, For: c.For, Wait: c.Wait, Connections: c.Connections}, send)
+	if err != nil {
+		return err
+	}
+	if err := tellLoad(r, c.JSON); err != nil {
+		return verdict{err}
+	}
+	switch {
+	case r.Interrupted:
+		return verdict{errors.New("interrupted")}
+	case r.Invalid != "":
+		return verdict{errors.New("the run is not valid")}
+	}
+	return nil
+}
+
+func (c *loadSendCommand) check() error {
+	u, err := url.Parse(c.Target)
+	switch {
+	case err != nil || u.Scheme != "http" || u.Host == "":
+		return fmt.Errorf("--target: %q is no http:// URL", c.Target)
+	case !isLoopback(u.Hostname()) && c.MayLoad != u.Hostname():
+		return fmt.Errorf("--target: %s is not on loopback: say --i-may-load %s if you may", u.Hostname(), u.Hostname())
+	case !(c.Rate > 0 && c.Rate <= loadMostRate):
+		return fmt.Errorf("--rate: must be over 0, and %d at most", loadMostRate)
+	case c.For <= 0 || c.For > loadMostFor:
+		return fmt.Errorf("--for: must be over 0, and %v at most", loadMostFor)
+	case c.Wait <= 0 || c.Wait > loadMostFor:
+		return fmt.Errorf("--wait: must be over 0, and %v at most", loadMostFor)
+	case c.Connections < 1 || c.Connections > loadMostConnections:
+		return fmt.Errorf("--connections: must be from 1 to %d", loadMostConnections)
+	}
+	return nil
+}
+
+// isLoopback tells whether a host stays on this machine. Other names than localhost are not looked up: what they stand for
+// may change.
+func isLoopback(host string) bool {
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+// tellLoad prints a result, and writes it where it is wanted.
+func tellLoad(r *loadgen.Result, path string) error {
+	table := io.Writer(os.Stdout)
+	if path == "-" {
+		table = os.Stderr
+		if err := r.Write(os.Stdout); err != nil {
+			return err
+		}
+	} else if path != "" {
+		f, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(r.Write(f), f.Close()); err != nil {
+			return err
+		}
+	}
+	return r.WriteTable(table)
+}
+
+type loadMergeCommand struct {
+	Files []string `arg:"" help:"Results that 'load --json' has written."`
+	JSON  string   `name:"json" placeholder:"FILE" help:"Write the whole result as JSON; -: standard output."`
+}
+
+// Run implements kong's command.
+func (c *loadMergeCommand) Run() error {
+	var all *loadgen.Result
+	for i, path := range c.Files {
+		if slices.Contains(c.Files[:i], path) {
+			return fmt.Errorf("%s: given twice", path)
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		r, err := loadgen.Read(text)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		if all == nil {
+			all = r
+		} else {
+			all.Merge(r)
+		}
+	}
+	if err := tellLoad(all, c.JSON); err != nil {
+		return verdict{err}
+	}
+	if all.Invalid != "" {
+		return verdict{errors.New("a run is not valid")}
+	}
+	return nil
+}
--- a/cmd/tuliprock/serve_test.go
+++ b/cmd/tuliprock/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -55,6 +56,12 @@
 func start(t *testing.T, args ...string) *daemonRun {
 	t.Helper()
 	s := &daemonRun{cmd: program(args...)}
+	s.begin(t)
+	return s
+}
+
+func (s *daemonRun) begin(t *testing.T) {
+	t.Helper()
 	s.cmd.Stderr = &s.spoken
 	if err := s.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -64,7 +71,6 @@
 		_ = s.cmd.Process.Kill()
 		_ = s.ended()
 	})
-	return s
 }
 
 func (s *daemonRun) signal(t *testing.T, sig syscall.Signal) {
@@ -133,12 +139,38 @@
 	}
 }
 
+// Load before a stand-in node, twice, and the two results joined.
+func TestLoadGivesItsResult(t *testing.T) {
+	addr, dir := freePort(t), t.TempDir()
+	start(t, "stand-in", addr).await(t, addr)
+	files := []string{filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json")}
+	for i, f := range files {
+		// Exit code 1 is a busy machine's: the result is there all the same.
+		code, out, errs := run(t, program("load", "--target", "http://"+addr+"/{n}", "--rate", "50", "--for", "1s", "--gaps", "even", "--seed", fmt.Sprint(i), "--json", f))
+		if code > 1 || !strings.Contains(out, "due 50 in") || !strings.Contains(out, "from when due") {
+			t.Fatalf("%d\n%s\n%s", code, out, errs)
+		}
+	}
+	code, out, errs := run(t, program(append([]string{"load", "merge"}, files...)...))
+	if code > 1 || !strings.Contains(out, "due 100 in") || !strings.Contains(out, "2 runs together") {
+		t.Errorf("%d\n%s\n%s", code, out, errs)
+	}
+}
+
 func TestBadUsageOfServe(t *testing.T) {
 	for name, args := range map[string][]string{
 		"no file":        {"serve"},
 		"no such file":   {"serve", "--config", "nowhere.toml"},
 		"not loopback":   {"stand-in", "10.0.0.1:80"},
 		"not an address": {"stand-in", "here"},
+		"no target":      {"load"},
+		"not allowed":    {"load", "--target", "http://a.example/"},
+		"another host":   {"load", "--target", "http://a.example/", "--i-may-load", "b.example"},
+		"no rate":        {"load", "--target", "http://127.0.0.1:1/", "--rate", "0"},
+		"no such kind":   {"load", "--target", "http://127.0.0.1:1/", "--gaps", "odd"},
+		"a bad header":   {"load", "--target", "http://127.0.0.1:1/", "-H", "x"},
+		"no such result": {"load", "merge", "nowhere.json"},
+		"a result twice": {"load", "merge", "serve_test.go", "serve_test.go"},
 	} {
 		if code, out, errs := run(t, program(args...)); code != 2 || out != "" || strings.Count(errs, "\n") != 1 {
 			t.Errorf("%s: %d, %q, %q", name, code, out, errs)
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -106,6 +106,16 @@
 		"route[1]: host":                             {"*.shire.example", "*.*.example"},
 		"route[0].header[0]: must have one of equal": {`equal = ""`, "equal = \"\"\nabsent = true"},
 		":5: listener[0].adress: unknown field":      {"address", "adress"},
+		":2: daemon.index: must be":                  {"format = 1\n", "format = 1\ndaemon = { daemons = 2, index = 2 }\n"},
+		"listener[0].retry_after":                    {"[[class]]", "retry_after = \"soon\"\n[[class]]"},
+		"class[0].id_missing":                        {`effect = "safe"`, "effect = \"safe\"\nid_missing = \"drop\""},
+		"pool[0]: must have members from one place":  {`name = "desk"`, "name = \"desk\"\nfile = \"x\""},
+		"pool[0].agent":                              {`name = "desk"`, "name = \"desk\"\nagent = \"x\""},
+		"pool[0].dns.port":                           {"[[pool.member]]\n  address = \"127.0.0.1:9001\"\n  [[pool.member]]\n  id = \"two\"\n  address = \"127.0.0.1:9002\"", "dns = { name = \"a.example\" }"},
+		"pool[0].member[0].state":                    {`address = "127.0.0.1:9001"`, "address = \"127.0.0.1:9001\"\n  state = \"tired\""},
+		"route[0].set_header[0].name":                {"pool = \"desk\"\nclass = \"dispatch\"", "pool = \"desk\"\nclass = \"dispatch\"\nset_header = [{ name = \"Via\", value = \"x\" }]"},
+		"route[0].set_header[0].value":               {"pool = \"desk\"\nclass = \"dispatch\"", "pool = \"desk\"\nclass = \"dispatch\"\nset_header = [{ name = \"X-A\", value = \"x\\ny\" }]"},
+		"route[0].remove_headers":                    {"pool = \"desk\"\nclass = \"dispatch\"", "pool = \"desk\"\nclass = \"dispatch\"\nremove_headers = [\"Host\"]"},
 	} {
 		text := strings.Replace(goodFile, swap[0], swap[1], 1)
 		if text == goodFile {
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -28,6 +28,7 @@
 	Settings    balance.Settings // a seed of 0: one is drawn
 	Connections int
 	Dial, Idle  time.Duration
+	Spread      bool // connections are opened rather than waited for
 	OnlyOK      bool // only a 200 is an answer, and only its type and body go on: the platform's endpoints
 	Source      SourceSpec
 }
@@ -156,7 +157,7 @@
 	for _, t := range f.Tenant {
 		settings.Tenants = append(settings.Tenants, balance.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	return PoolSpec{Name: p.Name, Settings: settings, Connections: p.Connections, Dial: p.DialTimeout, Idle: p.IdleTimeout,
+	return PoolSpec{Name: p.Name, Settings: settings, Connections: p.Connections, Dial: p.DialTimeout, Idle: p.IdleTimeout, Spread: true,
 		Source: SourceSpec{Agent: p.Agent, Members: p.Member, File: p.File, DNS: p.DNS, Hold: p.Hold, Damp: p.Damp}}
 }
 
--- a/internal/discovery/sources_test.go
+++ b/internal/discovery/sources_test.go
@@ -219,6 +219,7 @@
 func TestAddressesAreFollowed(t *testing.T) {
 	d := newDNS(t)
 	d.Set("web.example", a("127.0.0.1", 0), a("127.0.0.2", 60), a("::1", 60))
+	d.Go(standin.DNSWell, 100*time.Millisecond) // slow
 	h := askDNS(t, quick(d))
 	h.expect(t, "127.0.0.1:80", "127.0.0.2:80", "[::1]:80")
 	d.Set("web.example", a("127.0.0.2", 60))
--- /dev/null
+++ b/internal/loadgen/result.go
@@ -0,0 +1,90 @@
+package loadgen
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"tuliprock/internal/schedule"
+)
+
+// Result is what a run showed.
+type Result struct {
+	Options Options
+	Runs    int           // joined into this one
+	Sent    time.Duration // for which requests were sent
+
+	Due, NotSent, Resent int64                        // NotSent: for lack of connections
+	Ended                map[string]int64             // by status or by why there is none
+	Latency              map[string]*schedule.Latency // from when each request was due to the end of its answer; the same keys
+	All                  *schedule.Latency            // of whole answers
+	Service              *schedule.Latency            // of the same, from the first byte written
+	Own                  *schedule.Latency            // our own lateness: from when a request was due to its first byte
+	Seconds              []Second
+
+	Interrupted bool
+	Invalid     string // why the figures are ours and not the server's; empty: they aren't
+}
+
+// Second is one second of a run, by when requests were due.
+type Second struct {
+	Due, NotSent, Answered int64
+	Latency                *schedule.Latency // of whole answers
+}
+
+func newResult(o Options) *Result {
+	r := &Result{Options: o, Runs: 1, Ended: map[string]int64{}, Latency: map[string]*schedule.Latency{}, All: schedule.NewLatency(),
+		Service: schedule.NewLatency(), Own: schedule.NewLatency()}
+	return r
+}
+
+// second is that of an instant. There are as many as the run is long.
+func (r *Result) second(at time.Duration) *Second {
+	for int(at/time.Second) >= len(r.Seconds) {
+		r.Seconds = append(r.Seconds, Second{Latency: schedule.NewLatency()})
+	}
+	return &r.Seconds[at/time.Second]
+}
+
+func (r *Result) notSent(at time.Duration) {
+	r.Due++
+	r.NotSent++
+	s := r.second(at)
+	s.Due++
+	s.NotSent++
+}
+
+// take counts a request that has ended.
+func (r *Result) take(at time.Duration, due, done time.Time, a Answer) {
+	r.Due++
+	s := r.second(at)
+	s.Due++
+	if !a.Wrote.IsZero() {
+		r.Own.Record(a.Wrote.Sub(due))
+	}
+	if a.Resent {
+		r.Resent++
+	}
+	name := a.Failed
+	if a.Status != 0 {
+		name = strconv.Itoa(a.Status)
+		s.Answered++
+		s.Latency.Record(done.Sub(due))
+		r.All.Record(done.Sub(due))
+		if !a.Wrote.IsZero() {
+			r.Service.Record(done.Sub(a.Wrote))
+		}
+	}
+	r.Ended[name]++
+	if r.Latency[name] == nil {
+		r.Latency[name] = schedule.NewLatency()
+	}
+	r.Latency[name].Record(done.Sub(due))
+}
+
+// judge says whether the figures are the server's.
+func (r *Result) judge() {
+	if late := r.Own.At(0.99); late > r.Options.Late {
+		r.Invalid = fmt.Sprintf("the generator itself was late by %v (p99), %v are allowed: this machine, not the server, is the limit", late.Round(10*time.Microsecond), r.Options.Late)
+	}
+}
--- a/internal/schedule/stream.go
+++ b/internal/schedule/stream.go
@@ -62,8 +62,9 @@
 	p   Process
 	rng *rand.Rand
 
-	at   float64 // seconds
-	next int     // point of the curve that comes next
+	begun bool
+	at    float64 // seconds
+	next  int     // point of the curve that comes next
 	// Of OnOff:
 	on    bool
 	until float64 // seconds: the phase ends
@@ -112,6 +113,10 @@
 		least := (s.p.Tail - 1) / s.p.Tail
 		return least / math.Pow(1-s.rng.Float64(), 1/s.p.Tail)
 	}
+	if !s.begun { // in the middle of a gap, so that a whole number of them is as many arrivals
+		s.begun = true
+		return 0.5
+	}
 	return 1
 }
 
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -40,7 +40,7 @@
 	if settings.Seed == 0 {
 		settings.Seed = drawSeed()
 	}
-	p.upstream = upstream.New(upstream.Options{Idle: spec.Idle, Dial: spec.Dial, Most: spec.Connections, OnlyOK: spec.OnlyOK})
+	p.upstream = upstream.New(upstream.Options{Idle: spec.Idle, Dial: spec.Dial, Most: spec.Connections, Spread: spec.Spread, OnlyOK: spec.OnlyOK})
 	p.loop = core.New(decide, settings, p.upstream, p.subscribe, log)
 	known := spec.Source.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -51,10 +51,13 @@
 
 // Options of a Client.
 type Options struct {
-	Idle   time.Duration // endpoints close connections that were idle for so long; 0: not told
-	Dial   time.Duration // a connection that is not up by then has failed; 0: not told
-	Most   int           // connections open at once
-	OnlyOK bool          // only a 200 is an answer; else every status below 500 but 429 is, and others are errors with an answer
+	Idle time.Duration // endpoints close connections that were idle for so long; 0: not told
+	Dial time.Duration // a connection that is not up by then has failed; 0: not told
+	Most int           // connections open at once
+	// Where all idle connections to an endpoint still rest, a new one is opened rather than waited for, while there are
+	// fewer than Most. Else one of them is waited for: the way where connections are what is scarce.
+	Spread bool
+	OnlyOK bool // only a 200 is an answer; else every status below 500 but 429 is, and others are errors with an answer
 }
 
 // Client makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
@@ -63,7 +66,7 @@
 	idleFor, dialTimeout time.Duration
 	settle               time.Duration // rest of a connection after an answer
 	most                 int           // connections open at once
-	onlyOK               bool
+	spread, onlyOK       bool
 
 	mu    sync.Mutex
 	open  int
@@ -96,7 +99,7 @@
 	if o.Dial <= 0 {
 		o.Dial = defaultDial
 	}
-	return &Client{idleFor: time.Duration(float64(o.Idle) * idleShare), dialTimeout: o.Dial, settle: restAfter, most: o.Most, onlyOK: o.OnlyOK,
+	return &Client{idleFor: time.Duration(float64(o.Idle) * idleShare), dialTimeout: o.Dial, settle: restAfter, most: o.Most, spread: o.Spread, onlyOK: o.OnlyOK,
 		pools: map[string]*pool{}}
 }
 
@@ -274,11 +277,11 @@
 	if p == nil {
 		return nil, "", nil, errNoAddress
 	}
-	if len(p.idle) > 0 {
-		i := len(p.idle) - 1
-		for i > 0 && time.Since(p.idle[i].idleAt) < u.settle {
-			i--
-		}
+	i := len(p.idle) - 1
+	for i > 0 && time.Since(p.idle[i].idleAt) < u.settle {
+		i--
+	}
+	if i >= 0 && !(u.spread && u.open < u.most && time.Since(p.idle[i].idleAt) < u.settle) {
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
 		return p, p.addr, c, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -312,3 +312,22 @@
 		t.Errorf("%d open after the close", u.open)
 	}
 }
+
+// Where connections are opened rather than waited for, one that rests holds nobody up, as long as there may be more.
+func TestARestingConnectionIsNotWaitedFor(t *testing.T) {
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	for _, most := range []int{1, 2} {
+		u := New(Options{Idle: time.Minute, Dial: testpeer.Patience, Most: most, Spread: true})
+		u.settle = 30 * time.Millisecond
+		u.SetMember("a", e.Addr, true)
+		for range 2 {
+			if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/x")); r != balance.OK {
+				t.Errorf("result %v", r)
+			}
+		}
+		if n := e.Connections.Swap(0); int(n) != most {
+			t.Errorf("with %d at most, %d were opened", most, n)
+		}
+		u.sweep(func(*conn) bool { return false })
+	}
+}
