A listener that is replaced ends its accept at once, on busy cores too

Need: of two servers on one socket the one that stays lifted the deadline by which the other's accept was to end, before that had seen it; on two cores beside three busy loops the hand-over took up to 20 s, and a test failed.

Change: the deadline stands until the accepts that are to end have returned; whoever else it wakes waits for that.

--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -16,8 +16,10 @@
 type socket struct {
 	l *net.TCPListener
 
-	mu    sync.Mutex
-	holds int // it is closed with the last one
+	mu      sync.Mutex
+	changed sync.Cond // of closing, or of a hold's closed
+	holds   int       // it is closed with the last one
+	closing int       // holds whose Accept has yet to return: until then a deadline in the past stands
 }
 
 // hold is one server's share of a socket. It implements net.Listener.
@@ -34,6 +36,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	s := &socket{l: l.(*net.TCPListener), holds: 1}
+	s.changed.L = &s.mu
 	return &hold{socket: s}, nil
 }
 
@@ -63,9 +66,20 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nc, err
 		}
-		if !h.closed.Load() { // meant for another hold
-			_ = h.l.SetDeadline(time.Time{})
-		}
+		h.lift()
+	}
+}
+
+// lift waits until no other hold is about to close, and lifts the deadline by which that one's Accept was ended. Were it
+// lifted earlier, that Accept might sleep on: it looks at the deadline only once it has woken up.
+func (h *hold) lift() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for h.closing > 0 && !h.closed.Load() {
+		h.changed.Wait()
+	}
+	if h.closing == 0 {
+		_ = h.l.SetDeadline(time.Time{})
 	}
 }
 
@@ -77,16 +91,23 @@
 	h.mu.Lock()
 	h.holds--
 	last := h.holds == 0
+	if !last {
+		h.closing++
+		_ = h.l.SetDeadline(time.Unix(1, 0))
+	}
+	h.changed.Broadcast()
 	h.mu.Unlock()
 	if last {
 		return h.l.Close()
 	}
-	// Another hold's Accept may lift the deadline before ours has seen it.
-	for h.accepting.Load() > 0 {
-		if err := h.l.SetDeadline(time.Unix(1, 0)); err != nil {
-			return nil // the other holds are closed too by now, and the socket
-		}
+	for h.accepting.Load() > 0 { // it returns as soon as it gets to run
 		time.Sleep(time.Millisecond)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closing--; h.closing == 0 {
+		_ = h.l.SetDeadline(time.Time{})
+	}
+	h.changed.Broadcast()
 	return nil
 }
--- a/internal/sidecar/socket_test.go
+++ b/internal/sidecar/socket_test.go
@@ -78,3 +78,43 @@
 		t.Errorf("closed twice: %v", err)
 	}
 }
+
+// Seen on two busy cores: of two that accepted from one socket the one that stayed lifted the deadline by which the other
+// was to end, again and again before that had seen it, for 20 s.
+func TestHoldsThatAcceptAtOnceEndOneByOne(t *testing.T) {
+	first, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds, ended := []*hold{first}, make(chan error, 16)
+	for range 15 {
+		h, ok := first.share()
+		if !ok {
+			t.Fatal("an open socket can't be shared")
+		}
+		holds = append(holds, h)
+	}
+	for _, h := range holds {
+		go func() { _, err := h.Accept(); ended <- err }()
+	}
+	for _, h := range holds {
+		testpeer.Until(t, "it accepts", func() bool { return h.accepting.Load() > 0 })
+	}
+	for i, h := range holds {
+		if i%4 == 3 { // two at once
+			go h.Close()
+		} else if err := h.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	for range holds {
+		select {
+		case err := <-ended:
+			if !errors.Is(err, net.ErrClosed) {
+				t.Errorf("ended with %v", err)
+			}
+		case <-time.After(testpeer.Patience):
+			t.Fatal("one still accepts")
+		}
+	}
+}
