One bound, one form and one count where the change had two

Change: discovery.MostMembers; config.List gives what the keeper takes; loadgen derives counts by end and by second; strip takes hop-by-hop headers out in place; testpeer.FreePort and testpeer.Patience. front.Current.Swap gives back nothing, since nobody asked for it.

--- a/cmd/tuliprock/proxy_test.go
+++ b/cmd/tuliprock/proxy_test.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"tuliprock/internal/testpeer"
 )
 
 // peerEnv makes the test binary a peer of the measurement below: "node" or "proxy", with addresses behind.
@@ -52,7 +54,7 @@
 	s := &daemonRun{cmd: program()}
 	s.cmd.Env = append(s.cmd.Env, peerEnv+"="+strings.Join(words, " "), "GOMAXPROCS=1")
 	s.begin(t)
-	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(testpeer.Patience); ; time.Sleep(5 * time.Millisecond) {
 		nc, err := net.Dial("tcp", words[1])
 		if err == nil {
 			nc.Close()
@@ -112,13 +114,13 @@
 	var nodes []string
 	file := "format = 1\n[daemon]\ncores = 1\n[[listener]]\nname = \"l\"\naddress = \"LISTEN\"\n[[class]]\nname = \"look\"\neffect = \"safe\"\n[[pool]]\nname = \"p\"\n"
 	for range 4 {
-		addr := freePort(t)
+		addr := testpeer.FreePort(t)
 		startPeer(t, "node", addr)
 		nodes = append(nodes, addr)
 		file += fmt.Sprintf("[[pool.member]]\naddress = %q\n", addr)
 	}
 	file += "[[route]]\npool = \"p\"\nclass = \"look\"\n"
-	own, proxy := freePort(t), freePort(t)
+	own, proxy := testpeer.FreePort(t), testpeer.FreePort(t)
 	path := filepath.Join(t.TempDir(), "ops.toml")
 	if err := os.WriteFile(path, []byte(strings.Replace(file, "LISTEN", own, 1)), 0o600); err != nil {
 		t.Fatal(err)
--- a/cmd/tuliprock/serve_test.go
+++ b/cmd/tuliprock/serve_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,9 +13,9 @@
 	"syscall"
 	"testing"
 	"time"
-)
 
-const patience = 20 * time.Second // that no test should come near
+	"tuliprock/internal/testpeer"
+)
 
 // spoken is what a program writes while it runs.
 type spoken struct {
@@ -39,7 +38,7 @@
 
 func (s *spoken) await(t *testing.T, want string) {
 	t.Helper()
-	for end := time.Now().Add(patience); !strings.Contains(s.String(), want); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(testpeer.Patience); !strings.Contains(s.String(), want); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("never said %q: %s", want, s)
 		}
@@ -80,16 +79,6 @@
 	}
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // The example that ships serves, with the stand-in nodes that the README starts; a bad file changes nothing and is named
 // with its line; SIGTERM ends it well.
 func TestTheExampleServes(t *testing.T) {
@@ -97,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen, a, b := freePort(t), freePort(t), freePort(t)
+	listen, a, b := testpeer.FreePort(t), testpeer.FreePort(t), testpeer.FreePort(t)
 	example := strings.NewReplacer("127.0.0.1:8080", listen, "127.0.0.1:9001", a, "127.0.0.1:9002", b).Replace(string(text))
 	path := filepath.Join(t.TempDir(), "ops.toml")
 	write := func(text string) {
@@ -111,7 +100,7 @@
 	said.await(t, "msg=listening")
 	ask := func() {
 		t.Helper()
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: testpeer.Patience}
 		resp, err := client.Get("http://" + listen + "/item/42")
 		if err != nil {
 			t.Fatal(err)
@@ -141,7 +130,7 @@
 
 // Load before a stand-in node, twice, and the two results joined.
 func TestLoadGivesItsResult(t *testing.T) {
-	addr, dir := freePort(t), t.TempDir()
+	addr, dir := testpeer.FreePort(t), t.TempDir()
 	start(t, "stand-in", addr).await(t, addr)
 	files := []string{filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json")}
 	for i, f := range files {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -186,7 +186,6 @@
 	defaultDamp        = time.Second
 	leastTTL           = 100 * time.Millisecond
 	mostRules          = 100_000
-	mostMembers        = 100_000
 )
 
 // Read reads and checks an operators' file. An error names file, line and field, in one line; a file that can't be read
@@ -413,7 +412,7 @@
 			tomlfile.Need("idle_timeout", p.IdleTimeout > 0, "over 0"),
 			tomlfile.Need("tier", p.Tier >= 0 && p.Tier <= 100, "from 0 to 100"),
 			tomlfile.Need("tiers_below", p.TiersBelow >= 0 && p.TiersBelow <= 100, "from 0 to 100"),
-			tomlfile.Need("member", len(p.Member) <= mostMembers, fmt.Sprintf("%d of them at most", mostMembers)),
+			tomlfile.Need("member", len(p.Member) <= discovery.MostMembers, fmt.Sprintf("%d of them at most", discovery.MostMembers)),
 			tomlfile.Need("agent", p.Agent == "" || isAddress(p.Agent), "host:port"),
 		}); err != nil {
 			return err
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -8,6 +8,7 @@
 
 	"tuliprock/balance"
 	"tuliprock/internal/discovery"
+	"tuliprock/internal/membership"
 	"tuliprock/internal/route"
 )
 
@@ -161,14 +162,10 @@
 		Source: SourceSpec{Agent: p.Agent, Members: p.Member, File: p.File, DNS: p.DNS, Hold: p.Hold, Damp: p.Damp}}
 }
 
-// List is a fixed list of members as discovery tells it.
-func List(members []Member) (out []discovery.Member) {
+// List is a fixed list of members as a source takes it.
+func List(members []Member) (out []membership.Member) {
 	for _, m := range members {
-		d := discovery.Member{ID: m.ID, Addr: m.Address, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell}
-		if m.State == "draining" {
-			d.State = balance.Draining
-		}
-		out = append(out, d)
+		out = append(out, membership.Member{ID: m.ID, Addr: m.Address, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, Draining: m.State == "draining"})
 	}
 	return out
 }
--- a/internal/discovery/dns.go
+++ b/internal/discovery/dns.go
@@ -80,8 +80,8 @@
 	if notFound := (*net.DNSError)(nil); errors.As(err, &notFound) && notFound.IsNotFound {
 		members, err = nil, nil // an answer, and it lists nobody
 	}
-	if err == nil && len(members) > mostMembers {
-		err = fmt.Errorf("over %d members", mostMembers)
+	if err == nil && len(members) > MostMembers {
+		err = fmt.Errorf("over %d members", MostMembers)
 	}
 	if err != nil || len(members) == 0 {
 		next := d.retry
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -17,7 +17,7 @@
 const (
 	filePoll    = 200 * time.Millisecond // with the reading well within the 500 ms for news of a member that drains
 	fileMost    = 16 << 20               // bytes; 100,000 members of 100 bytes and some room
-	mostMembers = 100_000
+	MostMembers = 100_000                // of one source
 	// A file changed again within the clock tick of its time stamp looks unchanged: while the stamp is this young, it is
 	// read again.
 	freshStamp = time.Second
@@ -102,8 +102,8 @@
 	if file.Format != 1 {
 		return nil, fmt.Errorf("format: %d is not 1", file.Format)
 	}
-	if len(file.Members) > mostMembers {
-		return nil, fmt.Errorf("members: over %d", mostMembers)
+	if len(file.Members) > MostMembers {
+		return nil, fmt.Errorf("members: over %d", MostMembers)
 	}
 	members, ids := make([]membership.Member, 0, len(file.Members)), make(map[string]bool, len(file.Members))
 	for i, m := range file.Members {
--- a/internal/discovery/polled.go
+++ b/internal/discovery/polled.go
@@ -66,11 +66,7 @@
 }
 
 // Fixed is a source that knows its members.
-func Fixed(list []Member, k *Keeper, deliver func(Members), failed func(), log *slog.Logger) *Polled {
-	members := make([]membership.Member, 0, len(list))
-	for _, m := range list {
-		members = append(members, membership.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, Draining: m.State == balance.Draining})
-	}
+func Fixed(members []membership.Member, k *Keeper, deliver func(Members), failed func(), log *slog.Logger) *Polled {
 	return newPolled("members", k, func(context.Context) (answer, error) { return answer{members: members}, nil }, deliver, failed, log)
 }
 
--- a/internal/front/headers.go
+++ b/internal/front/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -23,17 +24,22 @@
 // ours are the headers by which endpoints know what the daemon says of a caller.
 var ours = []string{"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto"}
 
-// endToEnd are the headers that go on. Those kept go on unchanged, whatever Connection names.
-func endToEnd(in http.Header, kept ...string) http.Header {
-	out := in.Clone()
-	for _, value := range in.Values("Connection") {
+// strip takes the headers out that concern one connection only.
+func strip(h http.Header) {
+	for _, value := range h.Values("Connection") {
 		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		h.Del(name)
 	}
+}
+
+// endToEnd are the headers that go on. Those kept go on unchanged, whatever Connection names.
+func endToEnd(in http.Header, kept ...string) http.Header {
+	out := in.Clone()
+	strip(out)
 	for _, name := range kept {
 		if v := in.Values(name); len(v) > 0 {
 			out[http.CanonicalHeaderKey(name)] = v
@@ -63,7 +69,7 @@
 		return
 	}
 	for name := range h {
-		if strings.Contains(name, "_") && isOurs(strings.ReplaceAll(name, "_", "-")) {
+		if strings.Contains(name, "_") && slices.Contains(ours, http.CanonicalHeaderKey(strings.ReplaceAll(name, "_", "-"))) {
 			delete(h, name)
 		}
 	}
@@ -94,15 +100,6 @@
 	add(h, "Forwarded", "for="+node+";host="+quoted(r.Host)+";proto=http")
 }
 
-func isOurs(name string) bool {
-	for _, o := range ours {
-		if strings.EqualFold(o, name) {
-			return true
-		}
-	}
-	return false
-}
-
 // add appends to a list header, in one line.
 func add(h http.Header, name, value string) {
 	if was := strings.Join(h.Values(name), ", "); was != "" {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -171,9 +172,7 @@
 		}
 		return
 	}
-	from = endToEnd(from)
-	from.Del("Content-Length")
-	for name, values := range from {
-		to[name] = values
-	}
+	strip(from) // the answer is this caller's alone
+	maps.Copy(to, from)
+	to.Del("Content-Length")
 }
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -45,12 +45,11 @@
 	now *Service
 }
 
-// Swap puts a Service in the present one's place, which is returned: it takes no new request.
-func (c *Current) Swap(s *Service) (old *Service) {
+// Swap puts a Service in the present one's place, which takes no new request from then on.
+func (c *Current) Swap(s *Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old, c.now = c.now, s
-	return old
+	c.now = s
 }
 
 // Wait returns when all requests that the Service took have been answered. It must have been swapped out before.
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -60,10 +60,10 @@
 // Write writes the result in its versioned form.
 func (r *Result) Write(w io.Writer) error {
 	f := file{Format: Format, Kind: "load", Runs: r.Runs, Valid: r.Invalid == "", Invalid: r.Invalid, Interrupted: r.Interrupted, SentSeconds: r.Sent.Seconds(),
-		Due: r.Due, NotSent: r.NotSent, Resent: r.Resent, Ended: r.Ended, Latency: r.Latency, All: r.All, Service: r.Service, Own: r.Own,
+		Due: r.Due, NotSent: r.NotSent, Resent: r.Resent, Ended: r.Ended(), Latency: r.Latency, All: r.All, Service: r.Service, Own: r.Own,
 		Percentiles: map[string]map[string]string{"all": percentiles(r.All), "service": percentiles(r.Service), "own": percentiles(r.Own)}}
 	for _, s := range r.Seconds {
-		f.Seconds = append(f.Seconds, second(s))
+		f.Seconds = append(f.Seconds, second{Due: s.Due, NotSent: s.NotSent, Answered: s.Latency.Count(), Latency: s.Latency})
 	}
 	return json.NewEncoder(w).Encode(f)
 }
@@ -86,9 +86,6 @@
 		}
 	}
 	r.All, r.Service, r.Own = f.All, f.Service, f.Own
-	for name, n := range f.Ended {
-		r.Ended[name] = n
-	}
 	for name, l := range f.Latency {
 		if l == nil {
 			return nil, fmt.Errorf("latency.%s is missing", name)
@@ -99,7 +96,7 @@
 		if s.Latency == nil {
 			return nil, fmt.Errorf("seconds[%d].latency is missing", i)
 		}
-		r.Seconds = append(r.Seconds, Second(s))
+		r.Seconds = append(r.Seconds, Second{Due: s.Due, NotSent: s.NotSent, Latency: s.Latency})
 	}
 	return r, nil
 }
@@ -114,9 +111,6 @@
 	if r.Invalid == "" {
 		r.Invalid = o.Invalid
 	}
-	for name, n := range o.Ended {
-		r.Ended[name] += n
-	}
 	for name, l := range o.Latency {
 		if r.Latency[name] == nil {
 			r.Latency[name] = schedule.NewLatency()
@@ -128,7 +122,7 @@
 	r.Own.Merge(o.Own)
 	for i, s := range o.Seconds {
 		into := r.second(time.Duration(i) * time.Second)
-		into.Due, into.NotSent, into.Answered = into.Due+s.Due, into.NotSent+s.NotSent, into.Answered+s.Answered
+		into.Due, into.NotSent = into.Due+s.Due, into.NotSent+s.NotSent
 		into.Latency.Merge(s.Latency)
 	}
 }
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -15,8 +15,7 @@
 	Sent    time.Duration // for which requests were sent
 
 	Due, NotSent, Resent int64                        // NotSent: for lack of connections
-	Ended                map[string]int64             // by status or by why there is none
-	Latency              map[string]*schedule.Latency // from when each request was due to the end of its answer; the same keys
+	Latency              map[string]*schedule.Latency // from when each request was due to its end, by status or by why there is none
 	All                  *schedule.Latency            // of whole answers
 	Service              *schedule.Latency            // of the same, from the first byte written
 	Own                  *schedule.Latency            // our own lateness: from when a request was due to its first byte
@@ -26,14 +25,23 @@
 	Invalid     string // why the figures are ours and not the server's; empty: they aren't
 }
 
+// Ended counts requests by status or by why there is none.
+func (r *Result) Ended() map[string]int64 {
+	out := make(map[string]int64, len(r.Latency))
+	for name, l := range r.Latency {
+		out[name] = l.Count()
+	}
+	return out
+}
+
 // Second is one second of a run, by when requests were due.
 type Second struct {
-	Due, NotSent, Answered int64
-	Latency                *schedule.Latency // of whole answers
+	Due, NotSent int64
+	Latency      *schedule.Latency // of whole answers
 }
 
 func newResult(o Options) *Result {
-	r := &Result{Options: o, Runs: 1, Ended: map[string]int64{}, Latency: map[string]*schedule.Latency{}, All: schedule.NewLatency(),
+	r := &Result{Options: o, Runs: 1, Latency: map[string]*schedule.Latency{}, All: schedule.NewLatency(),
 		Service: schedule.NewLatency(), Own: schedule.NewLatency()}
 	return r
 }
@@ -68,14 +76,12 @@
 	name := a.Failed
 	if a.Status != 0 {
 		name = strconv.Itoa(a.Status)
-		s.Answered++
 		s.Latency.Record(done.Sub(due))
 		r.All.Record(done.Sub(due))
 		if !a.Wrote.IsZero() {
 			r.Service.Record(done.Sub(a.Wrote))
 		}
 	}
-	r.Ended[name]++
 	if r.Latency[name] == nil {
 		r.Latency[name] = schedule.NewLatency()
 	}
--- a/internal/loadgen/run_test.go
+++ b/internal/loadgen/run_test.go
@@ -154,8 +154,8 @@
 						t.Errorf("p%v: %v, want %v to %v", 100*s, got, lo, hi)
 					}
 				}
-				if r.Due != r.Ended["200"] || r.All.Count() != r.Due || r.NotSent != 0 || r.Invalid != "" || r.Own.Most() > time.Millisecond {
-					t.Errorf("of %d due: %v, not sent %d, %q, late by %v", r.Due, r.Ended, r.NotSent, r.Invalid, r.Own.Most())
+				if r.Due != r.Ended()["200"] || r.All.Count() != r.Due || r.NotSent != 0 || r.Invalid != "" || r.Own.Most() > time.Millisecond {
+					t.Errorf("of %d due: %v, not sent %d, %q, late by %v", r.Due, r.Ended(), r.NotSent, r.Invalid, r.Own.Most())
 				}
 				if name == "a stall" {
 					closed := closedLoop(t, o.For, d)
@@ -188,8 +188,8 @@
 		o := Options{Process: schedule.Process{Rate: schedule.Steady(100)}, For: 10 * time.Second, Wait: 2 * time.Second, Connections: 10}
 		r := measured(t, o, delays{each: func(int64) time.Duration { return 500 * time.Millisecond }})
 		// 10 connections serve 20 a second.
-		if r.Due != 1000 || r.NotSent < 790 || r.NotSent > 810 || r.Ended["200"] != r.Due-r.NotSent || r.Own.Most() > time.Millisecond {
-			t.Errorf("of %d due %d not sent, %v, late by %v", r.Due, r.NotSent, r.Ended, r.Own.Most())
+		if r.Due != 1000 || r.NotSent < 790 || r.NotSent > 810 || r.Ended()["200"] != r.Due-r.NotSent || r.Own.Most() > time.Millisecond {
+			t.Errorf("of %d due %d not sent, %v, late by %v", r.Due, r.NotSent, r.Ended(), r.Own.Most())
 		}
 	})
 }
@@ -243,8 +243,8 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if r.Due != 20 || r.Ended[c.want] != 20 {
-					t.Errorf("of %d due: %v, want %q", r.Due, r.Ended, c.want)
+				if r.Due != 20 || r.Ended()[c.want] != 20 {
+					t.Errorf("of %d due: %v, want %q", r.Due, r.Ended(), c.want)
 				}
 				h.Close()
 				m.Close()
@@ -280,7 +280,7 @@
 		defer cancel()
 		o := Options{Process: schedule.Process{Rate: schedule.Steady(10)}, For: time.Hour, Wait: time.Second, Connections: 10}
 		r, err := Run(ctx, o, late{time.Millisecond})
-		if err != nil || !r.Interrupted || r.Due < 29 || r.Due > 31 || r.Ended["200"] != r.Due || r.Sent != 3*time.Second {
+		if err != nil || !r.Interrupted || r.Due < 29 || r.Due > 31 || r.Ended()["200"] != r.Due || r.Sent != 3*time.Second {
 			t.Errorf("%v: %+v", err, r)
 		}
 	})
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -369,21 +369,11 @@
 	}
 }
 
-func port(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // A listener that moves serves at its old place for a while: connections there go on, and callers that don't know yet.
 // Back and forth again, and with other limits at the same place, it loses nobody.
 func TestAListenerMoves(t *testing.T) {
 	a := echo(t, "A")
-	here, there := port(t), port(t)
+	here, there := testpeer.FreePort(t), testpeer.FreePort(t)
 	at := func(addr string, more string) string {
 		return fmt.Sprintf("[[listener]]\nname = \"one\"\naddress = %q\n%s", addr, more) + poolOf("a", a) + one
 	}
--- a/internal/sidecar/storm_test.go
+++ b/internal/sidecar/storm_test.go
@@ -194,7 +194,7 @@
 	for range 5 {
 		nodes = append(nodes, newStormNode(t, &seen))
 	}
-	places := [2]string{port(t), port(t)}
+	places := [2]string{testpeer.FreePort(t), testpeer.FreePort(t)}
 	s := serve(t, service(t, stormFile(0, places, nodes)))
 	quiet := func() used {
 		testpeer.Until(t, "what was taken out has ended", func() bool {
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -74,6 +74,17 @@
 	}
 }
 
+// FreePort is a loopback address at which nobody listens just now.
+func FreePort(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // Until waits for a condition.
 func Until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
