--- a/balance/api.go
+++ b/balance/api.go
@@ -21,6 +21,9 @@
 	// Request reports a request that wants exactly one final answer: the success of an attempt, or the
 	// Host's Refuse or Fail.
 	Request(now time.Duration, r Request)
+	// BodySent reports, for a request with Flow, that the last byte of attempt n has gone out: from now on it waits for
+	// the endpoint, and the client until the deadline.
+	BodySent(now time.Duration, id string, n int, deadline time.Duration)
 	// StreamStarted reports that attempt n of a request has begun to stream its answer to the client.
 	StreamStarted(now time.Duration, id string, n int)
 	// Outcome reports the end of an attempt; every Send gets exactly one.
@@ -150,6 +153,9 @@
 	Tenant   string
 	Deadline time.Duration // instant at which the client stops waiting
 	Repeat   bool          // the client says that it has asked before
+	// Flow is 0 for a request that is here as a whole. Else its body flows in while an attempt is out, until this instant
+	// at the latest: the time that this takes says nothing of an endpoint, and Deadline rules only before and after.
+	Flow time.Duration
 }
 
 // Result is how an attempt ended.
@@ -182,6 +188,7 @@
 	Took     time.Duration // since the Send
 	Final    bool          // the request has its final answer
 	Reused   bool          // it went out on a connection that had served before
+	Spent    bool          // of a request with Flow: its body is gone, so that it can't be sent again
 }
 
 // ProbeResult is the answer to a Probe.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -296,9 +296,10 @@
 	return true
 }
 
-// mayRefuse tells whether "trying again is harmless" is true.
+// mayRefuse tells whether "trying again is harmless" is true. Where a body is spent nothing is left to doubt:
+// then it is true only if no attempt can have run.
 func (q *request) mayRefuse() bool {
-	return q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Group == GroupAll ||
+	return !q.spent && (q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Group == GroupAll) ||
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.out || a.mayRun })
 }
 
@@ -382,7 +383,7 @@
 	if e.probed(now) {
 		return e.held
 	}
-	return max(float64(e.inFlight), b.held)
+	return max(float64(e.inFlight), b.held) + float64(e.flows)
 }
 
 // dispatch sends a request to the endpoint picked, or holds it. Resends are not held back for room.
@@ -446,14 +447,18 @@
 		}
 	}
 	b.used(e)
-	a := attempt{e: e, sent: now, out: true, trial: !e.active}
-	a.overdueAt = now + max(seconds(late*max(w, 1)*took), 3*b.s.Resolution)
+	a := attempt{e: e, sent: now, waits: now, out: true, trial: !e.active, flows: q.Flow > 0}
+	a.overdueAt = b.overdueFrom(now, q, e)
 	e.trial = a.trial
-	e.inFlight++
-	b.out++
+	b.tally(&a, 1)
 	q.attempts, q.held, q.probing = append(q.attempts, a), false, nil
 	b.wakeAt(a.overdueAt)
-	b.host.Send(q.ID, e.ID, max(q.Deadline-now, time.Microsecond))
+	b.host.Send(q.ID, e.ID, max(q.Deadline-now, q.Flow-now, time.Microsecond))
+}
+
+// overdueFrom is when an attempt that waits for its endpoint from now on has been out for too long.
+func (b *Balancer) overdueFrom(now time.Duration, q *request, e *endpoint) time.Duration {
+	return now + max(seconds(late*max(e.w(), 1)*b.expected(q)), 3*b.s.Resolution)
 }
 
 // holdEnd ends the wait for room, alike for all classes: else those with the shortest aim starve in overload.
@@ -475,9 +480,12 @@
 		return
 	}
 	a.out, a.mayRun = false, o.Result != Full && o.Result != ConnectFailed && o.Result != NotSent
-	a.e.inFlight--
-	b.out--
+	b.tally(a, -1)
+	q.spent = q.spent || o.Spent
 	if !a.streams {
+		if q.Flow > 0 { // what the body took to come is the client's
+			o.Took = now - a.waits
+		}
 		b.judge(now, q, a, told(o), o.Took)
 	}
 	switch {
@@ -499,7 +507,8 @@
 
 // mayTry tells whether limit, time and budget allow one more attempt. Resends must not multiply over tiers.
 func (b *Balancer) mayTry(now time.Duration, q *request) bool {
-	return (b.s.MaxAttempts <= 0 || len(q.attempts) < b.s.MaxAttempts) && b.budget >= 1 && b.inTime(now, q, 1)
+	return !q.spent && (b.s.MaxAttempts <= 0 || len(q.attempts) < b.s.MaxAttempts) &&
+		b.budget >= 1 && b.inTime(now, q, 1)
 }
 
 // inTime tells whether an attempt sent now can still bring an answer that counts.
@@ -554,7 +563,7 @@
 		return
 	}
 	if failed {
-		stretch = min(max(stretch, (q.Deadline-a.sent).Seconds()/b.expected(q)), penaltyMost)
+		stretch = min(max(stretch, (q.Deadline-a.waits).Seconds()/b.expected(q)), penaltyMost)
 	}
 	if a.trial {
 		b.tryOver(now, e, stretch, failed)
@@ -610,7 +619,7 @@
 		b.host.Subscribe()
 	}
 	for _, q := range slices.Clone(b.live) {
-		if now >= q.giveUp || q.held && now >= b.holdEnd(q) {
+		if now >= q.ends() || q.held && now >= b.holdEnd(q) {
 			if len(q.attempts) == 0 {
 				b.log(now, "full", fmt.Sprintf("no endpoint has room, %d requests wait", len(b.waiting)))
 			}
@@ -634,10 +643,17 @@
 // answered nothing since is dropped: a hang shows after a few answer times, not a time-out.
 func (b *Balancer) overdue(now time.Duration, q *request, i int) {
 	a := &q.attempts[i]
-	e, silent := a.e, a.e.answeredAt < a.sent
-	a.overdue, a.overdueAt = true, now+(now-a.sent)
+	e, silent := a.e, a.e.answeredAt < a.waits
+	a.overdue, a.overdueAt = true, now+(now-a.waits)
+	if a.flows { // its time says nothing, and a trial would keep others out for as long as it lasts
+		if a.trial {
+			a.trial, e.trial = false, false
+			b.backOff(now, e, false)
+		}
+		return
+	}
 	if e.active {
-		b.sample(now, e, min((now-a.sent).Seconds()/b.expected(q), penaltyMost))
+		b.sample(now, e, min((now-a.waits).Seconds()/b.expected(q), penaltyMost))
 		if e.active && silent {
 			b.log(now, "silent", e.ID+" answers nothing and gets trials only")
 			b.drop(now, e)
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,7 +21,8 @@
 	backoff      time.Duration // wait between trials
 	trialAt      time.Duration // next trial, while not active
 	trial        bool          // the single trial is out
-	inFlight     int           // attempts out
+	inFlight     int           // attempts out that wait for it
+	flows        int           // attempts out whose bodies flow, up or down
 	errors       float64       // share of recent outcomes that are errors
 	coldAt       time.Duration // next send, while cold
 	held         float64       // load that the latest probe reported
@@ -56,11 +57,13 @@
 type attempt struct {
 	e               *endpoint
 	sent, overdueAt time.Duration
-	out             bool // no outcome yet
-	mayRun          bool // ended, and may have run
+	waits           time.Duration // for the endpoint, since then
+	out             bool          // no outcome yet
+	mayRun          bool          // ended, and may have run
 	trial           bool
 	overdue         bool // out for longer than expected
 	streams         bool // belongs to the client
+	flows           bool // its body flows, up or down
 }
 
 // request is all that is known of one request.
@@ -74,7 +77,8 @@
 	held     bool        // waits for room
 	probing  []*endpoint // probes awaited
 	probeEnd time.Duration
-	spot     int // in Balancer.live
+	spot     int  // in Balancer.live
+	spent    bool // can't be sent again
 }
 
 // Balancer decides for one caller. New makes one.
@@ -100,7 +104,7 @@
 	askAt     time.Duration // next ask of discovery; 0: none due
 	askGap    time.Duration
 	aim       float64 // mean aim of the classes, in seconds
-	out       int     // attempts out
+	out       int     // attempts out that wait for an endpoint
 	room      float64 // how many may be
 	stretch   float64 // of recent answers
 	cutAt     time.Duration
@@ -153,7 +157,7 @@
 
 // lookAt is when tick has to look at a request again.
 func (b *Balancer) lookAt(q *request) time.Duration {
-	at := q.giveUp
+	at := q.ends()
 	if q.held {
 		at = b.holdEnd(q)
 	}
@@ -304,15 +308,52 @@
 	return &q.attempts[n]
 }
 
+// BodySent implements Events: from now on the attempt is like any other that waits for its endpoint.
+func (b *Balancer) BodySent(now time.Duration, id string, n int, deadline time.Duration) {
+	q := b.requests[id]
+	if a := q.attempt(n); a != nil && a.flows && !a.streams {
+		b.tally(a, -1)
+		a.flows, a.waits = false, now
+		b.tally(a, 1)
+		q.Deadline, q.giveUp = deadline, deadline-max(b.s.Resolution, time.Millisecond)
+		a.overdueAt = b.overdueFrom(now, q, a.e)
+		b.wakeAt(b.lookAt(q))
+	}
+}
+
 // StreamStarted implements Events: the attempt is the client's, and no limit of time runs any more.
 func (b *Balancer) StreamStarted(now time.Duration, id string, n int) {
 	if q := b.requests[id]; q != nil {
 		if a := q.attempt(n); a != nil {
-			a.streams = true
-			b.judge(now, q, a, OK, now-a.sent)
+			b.judge(now, q, a, OK, now-a.waits)
+			b.tally(a, -1)
+			a.streams, a.flows = true, true
+			b.tally(a, 1)
 			b.close(q)
+			b.release(now)
+		}
+	}
+}
+
+// tally takes an attempt into the counts, or out of them. Bodies that flow use none of the room: that is for calls
+// that are over in an answer's time, and would stay used up for as long as a few transfers last.
+func (b *Balancer) tally(a *attempt, by int) {
+	if a.flows {
+		a.e.flows += by
+		return
+	}
+	a.e.inFlight += by
+	b.out += by
+}
+
+// ends is when a request that is out is given up: not by its deadline while its body still flows in.
+func (q *request) ends() time.Duration {
+	for i := range q.attempts {
+		if a := &q.attempts[i]; a.out && a.flows && !a.streams {
+			return max(q.Flow, q.giveUp)
 		}
 	}
+	return q.giveUp
 }
 
 // ClientLeft implements Events.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -35,6 +35,9 @@
 	Seed     uint64  `toml:"seed"`    // 0: drawn at the start
 	Cores    float64 `toml:"cores"`   // 0: as many as the system gives
 	MemoryMB int     `toml:"memory_mb"`
+
+	BodyMemoryMB int           `toml:"body_memory_mb"` // for bodies of requests, and for all that flow
+	DrainTimeout time.Duration `toml:"drain_timeout"`  // after SIGTERM, until bodies that still flow are cut off
 }
 
 // Listener is an address that callers connect to.
@@ -43,13 +46,15 @@
 	Address      string        `toml:"address"`
 	Connections  int           `toml:"connections"`
 	HeadBytes    int           `toml:"head_bytes"`
-	BodyBytes    int           `toml:"body_bytes"`
+	BodyBytes    int64         `toml:"body_bytes"`
 	HeadTimeout  time.Duration `toml:"head_timeout"`
 	BodyTimeout  time.Duration `toml:"body_timeout"`
 	IdleTimeout  time.Duration `toml:"idle_timeout"`
 	WriteTimeout time.Duration `toml:"write_timeout"`
 	Forwarded    string        `toml:"forwarded"`
 	RetryAfter   string        `toml:"retry_after"` // "seconds" (RFC 9110) or "fraction"
+	FlowIdle     time.Duration `toml:"flow_idle"`   // the longest wait for a caller while a body flows
+	FlowRate     int64         `toml:"flow_rate"`   // bytes a second that it must keep up; 0: none
 
 	Raw bool // targets are matched and go on as they came: the platform's way, which a file can't ask for
 }
@@ -73,6 +78,9 @@
 	DeadlineMissing string   `toml:"deadline_missing"`
 	Methods         []string `toml:"methods"` // that are served; none: all
 
+	FlowMost      time.Duration `toml:"flow_most"`      // that a body may flow, each way
+	DeadlineRules string        `toml:"deadline_rules"` // "waits" or "all"
+
 	NoBody bool // requests bring none: the platform's way, which a file can't ask for
 }
 
@@ -83,12 +91,30 @@
 	refuse = "refuse"
 )
 
+// What a class's deadline rules, and with what of a request a member may begin.
+const (
+	rulesWaits   = "waits"
+	rulesAll     = "all"
+	withHead     = "head"
+	withLastByte = "last_byte"
+)
+
+// Defaults where bodies flow. The wait is that of a connection whose peer has to send lost segments several times (RFC
+// 6298 doubles 1 s); the rate is below that of the slowest links in service (GPRS, some 20 kbit/s).
+const (
+	defaultFlowIdle = 10 * time.Second
+	defaultFlowRate = 1 << 10
+)
+
 // MustHaveID tells whether a request that lacks one is turned away; else one is made.
 func (c *Class) MustHaveID() bool { return c.IDMissing == refuse }
 
 // MustHaveDeadline tells whether a request that lacks one is turned away; else the class's own holds.
 func (c *Class) MustHaveDeadline() bool { return c.DeadlineMissing == refuse }
 
+// DeadlineAll tells whether the deadline rules bodies that flow, too.
+func (c *Class) DeadlineAll() bool { return c.DeadlineRules == rulesAll }
+
 // Tenant is one of the parties that share the pools.
 type Tenant struct {
 	Name  string  `toml:"name"`
@@ -109,6 +135,11 @@
 	TiersBelow     int           `toml:"tiers_below"` // how many tiers the members depend on
 	RetryAfterMost time.Duration `toml:"retry_after_most"`
 
+	Begins      string        `toml:"begins"`       // with what of a request a member may begin: "head" or "last_byte"
+	AnswerBytes int64         `toml:"answer_bytes"` // 0: any number
+	FlowIdle    time.Duration `toml:"flow_idle"`
+	FlowRate    int64         `toml:"flow_rate"`
+
 	Member []Member      `toml:"member"` // one of these four
 	Agent  string        `toml:"agent"`  //
 	File   string        `toml:"file"`   //
@@ -176,12 +207,14 @@
 	defaultConnections = 500
 	defaultHead        = 16 << 10
 	defaultBody        = 64 << 10
-	mostBody           = 64 << 10 // until bodies are passed along as they arrive
+	mostBody           = 1 << 40
+	mostBodyMemoryMB   = 1 << 20
 	defaultAttempts    = 4
 	SpareCallers       = 16 // connections of callers beyond a listener's own number, until an idle one is closed for them
 	defaultColdFrom    = 0.3
 	defaultColdFor     = 10 * time.Second
 	mostDeadline       = time.Hour
+	mostFlow           = 24 * time.Hour
 	defaultHold        = 10 * time.Minute // a resolver's or a script's outage is noticed by people within it
 	defaultDamp        = time.Second
 	leastTTL           = 100 * time.Millisecond
@@ -233,6 +266,8 @@
 		}
 	}
 	or(&f.Daemon.Name, "tuliprock")
+	set("daemon.body_memory_mb", func() { f.Daemon.BodyMemoryMB = 16 })
+	set("daemon.drain_timeout", func() { f.Daemon.DrainTimeout = 30 * time.Second })
 	set("daemon.daemons", func() { f.Daemon.Daemons = 1 })
 	for i := range f.Listener {
 		l, here, otherwise := &f.Listener[i], fmt.Sprintf("listener[%d].", i), defaultListener()
@@ -243,6 +278,8 @@
 		set(here+"body_timeout", func() { l.BodyTimeout = otherwise.BodyTimeout })
 		set(here+"idle_timeout", func() { l.IdleTimeout = otherwise.IdleTimeout })
 		set(here+"write_timeout", func() { l.WriteTimeout = otherwise.WriteTimeout })
+		set(here+"flow_idle", func() { l.FlowIdle = defaultFlowIdle })
+		set(here+"flow_rate", func() { l.FlowRate = defaultFlowRate })
 		or(&l.Forwarded, otherwise.Forwarded)
 		or(&l.RetryAfter, otherwise.RetryAfter)
 	}
@@ -258,6 +295,8 @@
 		or(&c.DeadlineHeader, "Req-Deadline-Ms")
 		or(&c.IDMissing, makeID)
 		or(&c.DeadlineMissing, fillIn)
+		set(here+"flow_most", func() { c.FlowMost = time.Hour })
+		or(&c.DeadlineRules, rulesWaits)
 	}
 	for i := range f.Pool {
 		p, here := &f.Pool[i], fmt.Sprintf("pool[%d].", i)
@@ -268,6 +307,9 @@
 		set(here+"dial_timeout", func() { p.DialTimeout = 250 * time.Millisecond })
 		set(here+"idle_timeout", func() { p.IdleTimeout = 15 * time.Second })
 		set(here+"retry_after_most", func() { p.RetryAfterMost = 2 * time.Second })
+		or(&p.Begins, withHead)
+		set(here+"flow_idle", func() { p.FlowIdle = defaultFlowIdle })
+		set(here+"flow_rate", func() { p.FlowRate = defaultFlowRate })
 		set(here+"hold", func() { p.Hold = defaultHold })
 		set(here+"damp", func() { p.Damp = defaultDamp })
 		for k := range p.Member {
@@ -301,6 +343,8 @@
 		tomlfile.Need("daemons", d.Daemons >= 1 && d.Daemons <= 100_000, "from 1 to 100000"),
 		tomlfile.Need("index", d.Index >= 0 && d.Index < d.Daemons, "from 0, and under daemons"),
 		tomlfile.Need("cores", d.Cores >= 0, "0 or more"),
+		tomlfile.Need("body_memory_mb", d.BodyMemoryMB >= 1 && d.BodyMemoryMB <= mostBodyMemoryMB, fmt.Sprintf("from 1 to %d", mostBodyMemoryMB)),
+		tomlfile.Need("drain_timeout", d.DrainTimeout >= 0 && d.DrainTimeout <= mostDeadline, "from 0s to 1h"),
 		tomlfile.Need("memory_mb", d.MemoryMB == 0 || d.MemoryMB >= leastMemoryMB, fmt.Sprintf("0 (no limit) or %d at least", leastMemoryMB)),
 	}); err != nil {
 		return err
@@ -321,6 +365,8 @@
 			tomlfile.Need("body_timeout", l.BodyTimeout > 0, "over 0"),
 			tomlfile.Need("idle_timeout", l.IdleTimeout > 0, "over 0"),
 			tomlfile.Need("write_timeout", l.WriteTimeout > 0, "over 0"),
+			tomlfile.Need("flow_idle", l.FlowIdle > 0, "over 0"),
+			tomlfile.Need("flow_rate", l.FlowRate >= 0, "0 or more"),
 			tomlfile.Need("forwarded", slices.Contains([]string{"set", "append", "drop", "leave"}, l.Forwarded), `"set", "append", "drop" or "leave"`),
 			tomlfile.Need("retry_after", l.RetryAfter == "seconds" || l.RetryAfter == "fraction", `"seconds" or "fraction"`),
 		}); err != nil {
@@ -368,6 +414,8 @@
 			tomlfile.Need("group", group, "all, zone or cell"),
 			tomlfile.Need("deadline", c.Deadline > 0, "over 0"),
 			tomlfile.Need("deadline_most", c.DeadlineMost >= c.Deadline && c.DeadlineMost <= mostDeadline, "the deadline at least, and 1h at most"),
+			tomlfile.Need("flow_most", c.FlowMost > 0 && c.FlowMost <= mostFlow, "over 0, and 24h at most"),
+			tomlfile.Need("deadline_rules", c.DeadlineRules == rulesWaits || c.DeadlineRules == rulesAll, `"waits" or "all"`),
 			tomlfile.Need("aim", c.Aim > 0 && c.Aim <= c.DeadlineMost, "over 0, and deadline_most at most"),
 			tomlfile.Need("id_header", isField(c.IDHeader), "the name of a header"),
 			tomlfile.Need("key_header", isField(c.KeyHeader), "the name of a header"),
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/body"
 	"tuliprock/internal/discovery"
 	"tuliprock/internal/membership"
 	"tuliprock/internal/route"
@@ -21,6 +22,9 @@
 	Pools     []PoolSpec
 	Table     *route.Table
 	Targets   []Target // by rule of the table
+
+	BodyMemory int           // bytes; 0: bodies are held whole, and have lengths
+	Drain      time.Duration // from the signal to end until bodies that still flow are cut off
 }
 
 // PoolSpec is a pool as it is built.
@@ -29,8 +33,11 @@
 	Settings    balance.Settings // a seed of 0: one is drawn
 	Connections int
 	Dial, Idle  time.Duration
-	Spread      bool // connections are opened rather than waited for
-	OnlyOK      bool // only a 200 is an answer, and only its type and body go on: the platform's endpoints
+	LastByte    bool      // members begin a request with its last byte, and not before
+	AnswerBytes int64     // 0: any number, where bodies flow
+	Flow        body.Pace // of members, where bodies flow
+	Spread      bool      // connections are opened rather than waited for
+	OnlyOK      bool      // only a 200 is an answer, and only its type and body go on: the platform's endpoints
 	Source      SourceSpec
 }
 
@@ -110,7 +117,7 @@
 	}
 	l := defaultListener()
 	l.Name, l.Address, l.Connections, l.Forwarded, l.RetryAfter, l.Raw = platformPool, c.Listen, each, "leave", "fraction", true
-	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, OnlyOK: true,
+	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, LastByte: true, OnlyOK: true,
 		Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
 	return Service{Name: c.Name, Limits: c.Limits, Listeners: []Listener{l}, Pools: []PoolSpec{pool}, Table: table, Targets: targets}, nil
 }
@@ -124,7 +131,7 @@
 
 // Service is the file in the daemon's own terms.
 func (f *File) Service() Service {
-	s := Service{Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
+	s := Service{BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
 	classes := map[string]*Class{}
 	for i := range f.Class {
 		classes[f.Class[i].Name] = &f.Class[i]
@@ -159,6 +166,7 @@
 		settings.Tenants = append(settings.Tenants, balance.Tenant{Name: t.Name, Quota: t.Quota})
 	}
 	return PoolSpec{Name: p.Name, Settings: settings, Connections: p.Connections, Dial: p.DialTimeout, Idle: p.IdleTimeout, Spread: true,
+		LastByte: p.Begins == withLastByte, AnswerBytes: p.AnswerBytes, Flow: body.Pace{Idle: p.FlowIdle, Rate: p.FlowRate},
 		Source: SourceSpec{Agent: p.Agent, Members: p.Member, File: p.File, DNS: p.DNS, Hold: p.Hold, Damp: p.Damp}}
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -55,6 +55,9 @@
 	Message *upstream.Message
 	Replies chan Reply // takes the one final answer without blocking; it has room for one
 
+	// Of a request whose body flows: how long its answer may be waited for after the last byte; 0: to the deadline.
+	Patience time.Duration
+
 	// The loop's own:
 	over    bool            // answered, or the caller has left
 	last    upstream.Answer // of the latest attempt that ended, if it brought one
@@ -177,13 +180,15 @@
 	l.balancer.Request(now, c.Request)
 }
 
-// Leave reports that the caller of a request has gone.
-func (l *Loop) Leave(now time.Duration, c *Call) {
-	if l.calls[c.ID] == c && !c.over {
-		c.over = true
-		l.balancer.ClientLeft(now, c.ID)
-		l.forget(c)
+// Leave reports that the caller of a request has gone. It is false if the request had its final answer before.
+func (l *Loop) Leave(now time.Duration, c *Call) bool {
+	if l.calls[c.ID] != c || c.over {
+		return false
 	}
+	c.over = true
+	l.balancer.ClientLeft(now, c.ID)
+	l.forget(c)
+	return true
 }
 
 // finish gives the final answer, once.
@@ -208,6 +213,9 @@
 	c.out--
 	c.last = a
 	o.Took, o.Final = now-sent, c.over
+	if u := c.Message.Upload; u != nil {
+		o.Spent = u.Spent()
+	}
 	if o.Result == balance.OK && !c.over {
 		o.Final = true
 		l.finish(c, Reply{Verdict: Served, Answer: a})
@@ -216,6 +224,43 @@
 	l.forget(c)
 }
 
+// bodySent reports that the last byte of an attempt whose body flows has gone out.
+func (l *Loop) bodySent(now time.Duration, c *Call, n int) {
+	if !c.over && c.Patience > 0 {
+		c.Deadline = min(now+c.Patience, c.Flow)
+	}
+	l.balancer.BodySent(now, c.ID, n, c.Deadline)
+}
+
+// begun gives an answer that has begun to flow to the caller, and tells whether that one still waits for it. From then on
+// it is the caller's, whatever becomes of it.
+func (l *Loop) begun(now time.Duration, c *Call, n int, a upstream.Answer) bool {
+	if c.over {
+		return false
+	}
+	c.over = true
+	c.Replies <- Reply{Verdict: Served, Answer: a}
+	l.balancer.StreamStarted(now, c.ID, n)
+	return true
+}
+
+// watch makes what happens during an attempt events.
+func (l *Loop) watch(c *Call, n int) upstream.Watch {
+	return upstream.Watch{
+		Sent: func() { l.Post(func(now time.Duration) { l.bodySent(now, c, n) }) },
+		Begun: func(a upstream.Answer) bool {
+			taken := make(chan bool, 1)
+			l.Post(func(now time.Duration) { taken <- l.begun(now, c, n, a) })
+			select {
+			case ok := <-taken:
+				return ok
+			case <-l.done:
+				return false
+			}
+		},
+	}
+}
+
 // List reports what discovery says.
 func (l *Loop) List(now time.Duration, m discovery.Members) {
 	out := balance.List{Complete: m.Full}
@@ -260,7 +305,7 @@
 	}
 	o := balance.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
 	sent := h.clock.now()
-	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, c.Deadline-sent))
+	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, max(c.Deadline, c.Flow)-sent))
 	c.cancels = append(c.cancels, cancel)
 	c.out++
 	if c.over {
@@ -268,9 +313,10 @@
 		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, upstream.Answer{}) })
 		return
 	}
+	watch := h.watch(c, o.Attempt)
 	go func() {
 		var a upstream.Answer
-		o.Result, o.Reused, a = h.upstream.Attempt(ctx, endpoint, c.Message)
+		o.Result, o.Reused, a = h.upstream.Attempt(ctx, endpoint, c.Message, watch)
 		cancel()
 		h.Post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
 	}()
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -2,13 +2,17 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"tuliprock/internal/body"
 )
 
 const (
@@ -43,7 +47,8 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	all *Listener
+	all  *Listener
+	pace atomic.Pointer[body.Meter] // of what is written; nil: no least rate is asked
 
 	// all.mu guards these:
 	in      *list.List // where it stands, with spot; nil while a request is open
@@ -224,9 +229,29 @@
 	c.all.mu.Lock()
 	c.unread = true // before the write: what comes in answer to it must count
 	c.all.mu.Unlock()
+	if m := c.pace.Load(); m != nil {
+		n, err := body.Write(c.Conn, m, never, net.Buffers{b})
+		return int(n), err
+	}
 	return c.Conn.Write(b)
 }
 
+func never() bool { return false }
+
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// paceOf holds the caller to a pace while an answer is written to it; nil: no longer.
+func paceOf(r *http.Request, m *body.Meter) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.pace.Store(m)
+	}
+}
+
 // Count tells how many connections are open.
 func (l *Listener) Count() int {
 	l.mu.Lock()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -23,6 +23,8 @@
 	status int
 	err    error
 	allow  []string // methods that are served instead
+
+	retryAfter time.Duration // for a refusal; 0: no advice
 }
 
 func refusal(status int, format string, args ...any) *bad {
@@ -36,6 +38,9 @@
 	if len(b.allow) > 0 {
 		w.Header().Set("Allow", strings.Join(b.allow, ", "))
 	}
+	if b.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(b.retryAfter.Seconds())))
+	}
 	http.Error(w, b.err.Error(), b.status)
 }
 
@@ -45,9 +50,9 @@
 	switch {
 	case !r.ProtoAtLeast(1, 1) && r.URL.Path != healthPath: // net/http ignores Transfer-Encoding there
 		return refusal(http.StatusBadRequest, "HTTP/1.1 is wanted")
-	case len(r.TransferEncoding) > 0:
+	case len(r.TransferEncoding) > 0 && s.o.Pool == nil:
 		return refusal(http.StatusLengthRequired, "Transfer-Encoding: a Content-Length is wanted")
-	case r.ContentLength > int64(s.o.Body):
+	case r.ContentLength > s.o.Body:
 		return refusal(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
 	return nil
@@ -63,7 +68,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(s.o.BodyTimeout)); err != nil {
 		return nil, refusal(http.StatusBadRequest, "%w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.o.Body)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.o.Body))
 	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 		return nil, refusal(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
@@ -76,32 +81,39 @@
 	return body, nil
 }
 
+// asked is a request that is fit to be handed to its pool.
+type asked struct {
+	call   *core.Call
+	target *Target
+	left   time.Duration // how long the caller waits
+}
+
 // read makes a call of a request, or says what is wrong with it.
-func (s *Server) read(service *Service, r *http.Request, body []byte, arrived time.Time) (*core.Call, *Target, *bad) {
+func (s *Server) read(service *Service, r *http.Request, hasBody bool) (*asked, *bad) {
 	t, target, err := s.route(service, r)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	c := t.Class
 	switch {
 	case len(c.Methods) > 0 && !slices.Contains(c.Methods, r.Method):
 		err := refusal(http.StatusMethodNotAllowed, "method %.40q is not served here", r.Method)
 		err.allow = c.Methods
-		return nil, nil, err
-	case c.NoBody && len(body) > 0:
-		return nil, nil, refusal(http.StatusBadRequest, "a body is not wanted here")
+		return nil, err
+	case c.NoBody && hasBody:
+		return nil, refusal(http.StatusBadRequest, "a body is not wanted here")
 	case c.Effect == balance.Keyed: // without a key endpoints could not drop its repeats
 		if _, err := one(r.Header, c.KeyHeader); err != nil {
-			return nil, nil, refusal(http.StatusBadRequest, "%w", err)
+			return nil, refusal(http.StatusBadRequest, "%w", err)
 		}
 	}
 	id, err := c.id(r.Header)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	left, err := c.deadline(r.Header)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	header := s.towards(r, t)
 	header[http.CanonicalHeaderKey(c.IDHeader)] = []string{id}
@@ -109,15 +121,24 @@
 	if tenant == "" {
 		tenant = t.Tenant
 	}
-	end := arrived.Add(left - wayBack)
-	if last := s.ends.Load(); last != nil && last.Before(end) {
-		end = *last
-	}
-	return &core.Call{
-		Request: balance.Request{ID: id, Class: c.Name, Tenant: tenant, Deadline: t.Pool.At(end), Repeat: c.RetryHeader != "" && r.Header.Get(c.RetryHeader) == "1"},
-		Message: &upstream.Message{Method: r.Method, Target: target, Host: r.Host, Header: header, Body: body, DeadlineName: c.DeadlineHeader},
+	return &asked{&core.Call{
+		Request: balance.Request{ID: id, Class: c.Name, Tenant: tenant, Repeat: c.RetryHeader != "" && r.Header.Get(c.RetryHeader) == "1"},
+		Message: &upstream.Message{Method: r.Method, Target: target, Host: r.Host, Header: header, DeadlineName: c.DeadlineHeader},
 		Replies: make(chan core.Reply, 1),
-	}, t, nil
+	}, t, left}, nil
+}
+
+// due sets a request's deadline, counted from an instant.
+func (s *Server) due(q *asked, from time.Time) {
+	q.call.Deadline = q.target.Pool.At(s.inTime(from.Add(q.left - wayBack)))
+}
+
+// inTime is an instant, or the end by which all must be answered if that comes first.
+func (s *Server) inTime(at time.Time) time.Time {
+	if last := s.ends.Load(); last != nil && last.Before(at) {
+		return *last
+	}
+	return at
 }
 
 // route finds where a request goes, and as what target. A class that nobody named must reach neither the module nor an
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,6 +2,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"maps"
@@ -12,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"tuliprock/internal/body"
 	"tuliprock/internal/core"
 )
 
@@ -33,12 +35,15 @@
 
 // Options of a Server.
 type Options struct {
-	Head, Body                                          int // bytes
+	Head                                                int   // bytes
+	Body                                                int64 // bytes
 	HeadTimeout, BodyTimeout, IdleTimeout, WriteTimeout time.Duration
 	Forwarded                                           Forwarded
-	Pseudonym                                           string // in Via
-	Fractions                                           bool   // Retry-After has them; else whole seconds (RFC 9110, 10.2.3)
-	Raw                                                 bool   // targets are matched and go on as they came, and answers' headers don't
+	Pseudonym                                           string     // in Via
+	Fractions                                           bool       // Retry-After has them; else whole seconds (RFC 9110, 10.2.3)
+	Pool                                                *body.Pool // memory for bodies; nil: bodies have lengths, and are held whole
+	Pace                                                body.Pace  // of callers, where bodies flow
+	Raw                                                 bool       // targets are matched and go on as they came, and answers' headers don't
 }
 
 // Server takes callers' requests, hands them to the loop of their pool and writes their answers.
@@ -49,13 +54,21 @@
 
 	ending atomic.Bool               // answers close their connections
 	ends   atomic.Pointer[time.Time] // by which all must be answered; nil: none
+
+	flowing context.Context // ends when bodies that still flow are cut off
+	cutOff  context.CancelFunc
 }
 
 // New makes a Server that routes by what is current.
 func New(o Options, current *Current, log *slog.Logger) *Server {
-	return &Server{o: o, current: current, log: log}
+	s := &Server{o: o, current: current, log: log}
+	s.flowing, s.cutOff = context.WithCancel(context.Background())
+	return s
 }
 
+// CutOff ends all bodies that flow, so that their callers can tell.
+func (s *Server) CutOff() { s.cutOff() }
+
 // EndBy makes all that is taken from now on be answered by the instant given.
 func (s *Server) EndBy(at time.Time) { s.ends.Store(&at) }
 
@@ -68,43 +81,95 @@
 // HTTP is the server to run on a Listener, whose Track it must be given.
 func (s *Server) HTTP(track func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{Handler: s, DisableGeneralOptionsHandler: true, ReadHeaderTimeout: s.o.HeadTimeout, IdleTimeout: s.o.IdleTimeout, MaxHeaderBytes: s.o.Head,
-		ConnState: track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
+		ConnState: track, ConnContext: withConn, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	w = &closing{w, &s.ending}
+	out := &closing{ResponseWriter: w, ending: &s.ending}
 	// The framing comes first: nothing may be read as a request that stands in another's body.
 	if bad := s.checkFraming(r); bad != nil {
-		bad.reject(w)
+		bad.reject(out)
+		return
+	}
+	if s.isLong(r) {
+		s.serveLong(out, r, arrived)
 		return
 	}
-	body, bad := s.readBody(w, r)
+	giveBack, bad := s.reserve(r)
 	if bad != nil {
-		bad.reject(w)
+		bad.reject(out)
+		return
+	}
+	defer giveBack()
+	text, bad := s.readBody(out, r)
+	if bad != nil {
+		bad.reject(out)
 		return
 	}
 	if r.URL.Path == healthPath {
-		w.WriteHeader(http.StatusOK)
-		_, _ = io.WriteString(w, "ok\n")
+		out.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(out, "ok\n")
 		return
 	}
 	service := s.current.take()
 	defer service.inUse.Done()
-	c, t, bad := s.read(service, r, body, arrived)
+	q, bad := s.read(service, r, len(text) > 0)
 	if bad != nil {
-		bad.reject(w)
+		bad.reject(out)
 		return
 	}
-	t.Pool.Post(func(now time.Duration) { t.Pool.Start(now, c) })
+	q.call.Message.Body = text
+	s.due(q, arrived)
+	s.ask(out, r, q)
+}
+
+// ask hands a request to its pool's loop and writes the final answer, unless the caller has left.
+func (s *Server) ask(w *closing, r *http.Request, q *asked) {
+	pool, c := q.target.Pool, q.call
+	pool.Post(func(now time.Duration) { pool.Start(now, c) })
+	var failed, cut <-chan struct{}
+	if u := c.Message.Upload; u != nil {
+		failed, cut = u.Failed(), s.flowing.Done()
+	}
 	select {
-	case a := <-c.Replies:
-		s.write(w, r, a)
+	case reply := <-c.Replies:
+		s.write(w, r, q, reply)
+	case <-failed:
+		if reply, answered := leave(q); answered {
+			s.write(w, r, q, reply)
+			return
+		}
+		broken(c.Message.Upload.Err()).reject(w)
+	case <-cut:
+		reply, answered := leave(q)
+		if !answered {
+			reply = core.Reply{Verdict: core.Failed}
+		}
+		s.write(w, r, q, reply)
 	case <-r.Context().Done():
-		t.Pool.Post(func(now time.Duration) { t.Pool.Leave(now, c) })
-	case <-t.Pool.Done():
-		s.write(w, r, core.Reply{Verdict: core.Failed})
+		if reply, answered := leave(q); answered {
+			s.write(w, r, q, reply)
+		}
+	case <-pool.Done():
+		s.write(w, r, q, core.Reply{Verdict: core.Failed})
+	}
+}
+
+// leave says that nobody waits for a request any more. If it was answered before, there is the answer.
+func leave(q *asked) (reply core.Reply, answered bool) {
+	left := make(chan bool, 1)
+	q.target.Pool.Post(func(now time.Duration) { left <- q.target.Pool.Leave(now, q.call) })
+	select {
+	case <-left:
+	case <-q.target.Pool.Done():
+	}
+	select {
+	case reply = <-q.call.Replies:
+		return reply, true
+	default:
+		return reply, false
 	}
 }
 
@@ -112,11 +177,13 @@
 type closing struct {
 	http.ResponseWriter
 	ending *atomic.Bool
+	upload *body.Upload // nil: the request's body is here
+	always bool         // what follows on the connection can't be trusted
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *closing) WriteHeader(status int) {
-	if w.ending.Load() {
+	if w.ending.Load() || w.always || w.upload != nil && !w.upload.Whole() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
@@ -126,14 +193,18 @@
 func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // write sends the final answer.
-func (s *Server) write(w http.ResponseWriter, r *http.Request, reply core.Reply) {
+func (s *Server) write(w http.ResponseWriter, r *http.Request, q *asked, reply core.Reply) {
+	if reply.Answer.Stream != nil {
+		s.pass(w, r, q, reply.Answer)
+		return
+	}
 	// Bounded, so that a caller that does not read can't hold a connection for good. An error means that it left.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.o.WriteTimeout))
 	h := w.Header()
-	body, status := reply.Answer.Body, reply.Answer.Status
+	text, status := reply.Answer.Body, reply.Answer.Status
 	if status == 0 {
 		status = statusOf[reply.Verdict]
-		body = []byte(http.StatusText(status) + "\n")
+		text = []byte(http.StatusText(status) + "\n")
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 	} else {
 		s.copyHeader(h, reply.Answer.Header)
@@ -143,16 +214,16 @@
 	}
 	switch {
 	case status == http.StatusNoContent || status == http.StatusNotModified:
-		body = nil
+		text = nil
 	case r.Method == http.MethodHead && reply.Answer.Status != 0: // the length that a GET would have, if told
 		if v := reply.Answer.Header.Get("Content-Length"); v != "" {
 			h.Set("Content-Length", v)
 		}
 	default:
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+		h.Set("Content-Length", strconv.Itoa(len(text)))
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_, _ = w.Write(text)
 }
 
 // advice is when to return, never earlier than the module says.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -19,6 +19,9 @@
 	RetryHeader                                       string   // "1" there: the caller has asked before; empty: that is never believed
 	Methods                                           []string // that are served; none: all
 	NoBody                                            bool     // requests bring none
+
+	FlowMost    time.Duration // that a body may flow, each way
+	DeadlineAll bool          // the deadline rules bodies that flow, too
 }
 
 // Target is where a rule leads.
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -170,6 +170,9 @@
 // StreamStarted implements balance.Events.
 func (b *balancer) StreamStarted(time.Duration, string, int) {}
 
+// BodySent implements balance.Events.
+func (b *balancer) BodySent(time.Duration, string, int, time.Duration) {}
+
 // Timer implements balance.Events.
 func (b *balancer) Timer(time.Duration) {}
 
--- a/internal/rehearse/bad_test.go
+++ b/internal/rehearse/bad_test.go
@@ -193,10 +193,11 @@
 	}
 }
 
-func (b *bad) ClientLeft(_ time.Duration, id string)     { delete(b.open, id) }
-func (b *bad) StreamStarted(time.Duration, string, int)  {}
-func (b *bad) Timer(time.Duration)                       {}
-func (b *bad) Probed(time.Duration, balance.ProbeResult) {}
+func (b *bad) ClientLeft(_ time.Duration, id string)              { delete(b.open, id) }
+func (b *bad) StreamStarted(time.Duration, string, int)           {}
+func (b *bad) BodySent(time.Duration, string, int, time.Duration) {}
+func (b *bad) Timer(time.Duration)                                {}
+func (b *bad) Probed(time.Duration, balance.ProbeResult)          {}
 
 // testDay has each trouble that a rule can be broken in, and is small.
 const testDay = `format = 1
--- /dev/null
+++ b/internal/sidecar/long_test.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	"tuliprock/internal/testpeer"
+)
+
+// long is an operators' file whose listener takes long bodies.
+const long = "[[listener]]\nname = \"one\"\naddress = \"127.0.0.1:0\"\nbody_bytes = 1073741824\n"
+
+// noise is n bytes that are the same for the same seed, and hold nothing.
+func noise(seed uint64, n int64) io.Reader {
+	return io.LimitReader(rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)}), n)
+}
+
+func hashOf(r io.Reader) string {
+	h := sha256.New()
+	_, _ = io.Copy(h, r)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// bulk is a node that says what hash an upload has, and gives as many bytes as it is asked for.
+func bulk(t testing.TB) string {
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n, err := strconv.ParseInt(r.URL.Query().Get("give"), 10, 64); err == nil {
+			if r.URL.Query().Get("chunked") == "" {
+				w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+			}
+			_, _ = io.Copy(w, noise(1, n))
+			w.Header().Set(http.TrailerPrefix+"X-After", "there")
+			w.Header().Set(http.TrailerPrefix+"Set-Cookie", "no")
+			return
+		}
+		sum := hashOf(r.Body)
+		fmt.Fprintf(w, "%s %d %s", sum, r.ContentLength, r.Trailer.Get("X-After"))
+	}))
+	t.Cleanup(e.Close)
+	return e.Listener.Addr().String()
+}
+
+func TestLongBodiesGoThroughWhole(t *testing.T) {
+	s := serve(t, service(t, long+poolOf("a", bulk(t), bulk(t))+"[[route]]\npool = \"a\"\nclass = \"pay\"\n"))
+	for _, n := range []int64{0, 1, 65535, 65536, 65537, 200_000, 20 << 20} {
+		for _, chunked := range []bool{false, true} {
+			size, after := n, ""
+			r, _ := http.NewRequest(http.MethodPost, "http://"+s.at("one")+"/up", io.NopCloser(noise(1, n)))
+			r.ContentLength = n
+			if chunked {
+				r.ContentLength, size = -1, -1
+				if n < 32768 { // what fits is held whole, and has a length then
+					size = n
+				}
+			}
+			resp, got := do(t, r)
+			if want := fmt.Sprintf("%s %d %s", hashOf(noise(1, n)), size, after); got != want {
+				t.Errorf("%d bytes up, chunked %v: %s %q, want %q", n, chunked, resp.Status, got, want)
+			}
+			if chunked && !resp.Close {
+				t.Error("a connection that brought chunks goes on")
+			}
+			query := fmt.Sprintf("?give=%d", n)
+			if chunked {
+				query += "&chunked=1"
+			}
+			down, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(mustGet("http://" + s.at("one") + "/down" + query))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := hashOf(down.Body); got != hashOf(noise(1, n)) {
+				t.Errorf("%d bytes down, chunked %v: other bytes", n, chunked)
+			}
+			if n > 65536 && chunked && (down.Trailer.Get("X-After") != "there" || down.Trailer.Get("Set-Cookie") != "") {
+				t.Errorf("trailers down: %v", down.Trailer)
+			}
+		}
+	}
+	if held, waiting := s.bodies.Held(); held != 0 || waiting != 0 {
+		t.Errorf("%d bytes of the memory for bodies are still held, %d wait", held, waiting)
+	}
+}
+
+func mustGet(url string) *http.Request {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func TestTrailersGoUpButThoseThatFrame(t *testing.T) {
+	s := serve(t, service(t, long+poolOf("a", bulk(t))+"[[route]]\npool = \"a\"\nclass = \"pay\"\n"))
+	nc, in, _ := keepOn(t, s.at("one"))
+	io.WriteString(nc, "POST /up HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: X-After\r\n\r\n3;ext=1\r\nabc\r\n0\r\nX-After: yes\r\nContent-Length: 7\r\n\r\n")
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, _ := io.ReadAll(resp.Body)
+	if want := hashOf(strings.NewReader("abc")) + " -1 yes"; string(got) != want {
+		t.Errorf("%s %q, want %q", resp.Status, got, want)
+	}
+}
+
+// A caller that asks first whether its body is wanted hears it from the endpoint.
+func TestExpectationsAreTheEndpointsToMeet(t *testing.T) {
+	var read int64
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/no" {
+			w.WriteHeader(http.StatusExpectationFailed)
+			return
+		}
+		read, _ = io.Copy(io.Discard, r.Body)
+	}))
+	t.Cleanup(e.Close)
+	s := serve(t, service(t, long+poolOf("a", e.Listener.Addr().String())+"[[route]]\npool = \"a\"\nclass = \"pay\"\n"))
+	for path, want := range map[string]string{"/no": "HTTP/1.1 417 ", "/yes": "HTTP/1.1 100 "} {
+		nc, in, _ := keepOn(t, s.at("one"))
+		io.WriteString(nc, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n")
+		line, err := in.ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, want) {
+			t.Fatalf("%s: %q, %v", path, line, err)
+		}
+		if path == "/no" {
+			continue
+		}
+		io.WriteString(nc, "hello")
+		in.ReadString('\n')
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 || read != 5 || resp.Close {
+			t.Errorf("%+v, %v, %d bytes", resp, err, read)
+		}
+	}
+}
+
+var _ = bytes.NewReader
+var _ = context.Background
+var _ = testpeer.Patience
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"tuliprock/internal/body"
 	"tuliprock/internal/config"
 	"tuliprock/internal/core"
 	"tuliprock/internal/discovery"
@@ -34,13 +35,18 @@
 }
 
 // newPool starts a pool. The module hears its first list before anything else.
-func newPool(decide core.Decider, spec config.PoolSpec, log *slog.Logger) *pool {
+func newPool(decide core.Decider, spec config.PoolSpec, bodies *body.Pool, log *slog.Logger) *pool {
 	p := &pool{spec: spec, log: log, keeper: discovery.NewKeeper(membership.Options{})}
 	settings := spec.Settings
 	if settings.Seed == 0 {
 		settings.Seed = drawSeed()
 	}
-	p.upstream = upstream.New(upstream.Options{Idle: spec.Idle, Dial: spec.Dial, Most: spec.Connections, Spread: spec.Spread, OnlyOK: spec.OnlyOK})
+	begins := upstream.WithHead
+	if spec.LastByte {
+		begins = upstream.WithLastByte
+	}
+	p.upstream = upstream.New(upstream.Options{Idle: spec.Idle, Dial: spec.Dial, Most: spec.Connections, Spread: spec.Spread, OnlyOK: spec.OnlyOK,
+		Begins: begins, Pool: bodies, Pace: spec.Flow, Answer: spec.AnswerBytes})
 	p.loop = core.New(decide, settings, p.upstream, p.subscribe, log)
 	known := spec.Source.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -25,5 +25,5 @@
 func class(c *config.Class) *front.Class {
 	return &front.Class{Name: c.Name, Effect: config.Effects[c.Effect], IDHeader: c.IDHeader, KeyHeader: c.KeyHeader, TenantHeader: c.TenantHeader,
 		DeadlineHeader: c.DeadlineHeader, RetryHeader: c.RetryHeader, MustHaveID: c.MustHaveID(), MustHaveDeadline: c.MustHaveDeadline(), Deadline: c.Deadline,
-		DeadlineMost: c.DeadlineMost, Methods: c.Methods, NoBody: c.NoBody}
+		DeadlineMost: c.DeadlineMost, Methods: c.Methods, NoBody: c.NoBody, FlowMost: c.FlowMost, DeadlineAll: c.DeadlineAll()}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"tuliprock/internal/body"
 	"tuliprock/internal/config"
 	"tuliprock/internal/core"
 	"tuliprock/internal/front"
@@ -32,6 +33,8 @@
 	log     *slog.Logger
 	current front.Current
 	failed  chan error     // a listener that can't go on
+	bodies  *body.Pool     // nil: bodies are held whole; fixed at the start
+	drains  time.Duration  // from the end's beginning until bodies that flow are cut off; fixed at the start
 	retired sync.WaitGroup // what a reload took out and has not ended yet
 
 	mu        sync.Mutex // a reload holds it from its beginning to its end
@@ -57,7 +60,10 @@
 // only beside others.
 func StartWith(decide core.Decider, c config.Service, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{decide: decide, log: log, failed: make(chan error, 1), listeners: map[string]*listener{}, leaving: map[*listener]bool{},
-		running: map[*pool]bool{}}
+		running: map[*pool]bool{}, drains: c.Drain}
+	if c.BodyMemory > 0 {
+		s.bodies = body.NewPool(c.BodyMemory)
+	}
 	if err := s.Reload(c); err != nil {
 		return nil, err
 	}
@@ -103,7 +109,7 @@
 			}
 		}
 		if p == nil || !p.goesOnAs(spec) {
-			p = newPool(s.decide, spec, s.log.With("pool", spec.Name))
+			p = newPool(s.decide, spec, s.bodies, s.log.With("pool", spec.Name))
 			s.running[p] = true
 		}
 		p.users++
@@ -150,7 +156,7 @@
 			}
 			return nil, fmt.Errorf("listener %s: %w", spec.Name, err)
 		}
-		next[at] = newListener(spec, c.Name, socket, &s.current, s.log)
+		next[at] = newListener(spec, c.Name, socket, &s.current, s.bodies, s.log)
 	}
 	return next, nil
 }
@@ -241,9 +247,11 @@
 	for _, l := range open {
 		l.leaving.Store(true)
 		l.callers.EndBy(time.Now().Add(answerAfterTerm))
+		defer time.AfterFunc(s.drains, l.callers.CutOff).Stop()
 	}
 	for l := range s.leaving {
 		l.callers.EndBy(time.Now().Add(answerAfterTerm))
+		defer time.AfterFunc(s.drains, l.callers.CutOff).Stop()
 	}
 	s.mu.Unlock()
 	errs := make(chan error, len(open))
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -270,7 +270,7 @@
 			return
 		}
 		d.fail(path, "%v is neither true nor false", value)
-	case reflect.Int:
+	case reflect.Int, reflect.Int64:
 		if v, ok := value.(int64); ok {
 			into.SetInt(v)
 			return
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,373 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tuliprock/balance"
+	"tuliprock/internal/body"
+)
+
+// Begins says when an endpoint may begin what a request asks for: what proves that it never ran.
+type Begins int
+
+// The ways.
+const (
+	WithLastByte Begins = iota // a request that did not go out whole has not run
+	WithHead                   // one of which any byte went out may have run
+)
+
+// continueAfter is how long an endpoint is given to say whether it wants a body, before it gets it all the same: it may
+// not know the expectation (RFC 9110, 10.1.1). net/http's Transport is commonly given the same time.
+const continueAfter = time.Second
+
+// frame writes how the body of a request that flows is framed.
+func (m *Message) frame(text *bytes.Buffer) {
+	if m.Upload.Size >= 0 {
+		fmt.Fprintf(text, "Content-Length: %d\r\n", m.Upload.Size)
+	} else {
+		text.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if m.Upload.Expects {
+		text.WriteString("Expect: 100-continue\r\n")
+	}
+}
+
+// pump sends a request whose body flows.
+type pump struct {
+	x       *exchange
+	flow    *body.Flow
+	meter   body.Meter
+	goOn    chan struct{} // closed when the endpoint wants the body
+	goOnce  sync.Once
+	done    chan struct{}
+	stopped atomic.Bool
+
+	mu   sync.Mutex // held while something is written
+	out  int64      // bytes that went out
+	sent bool       // the last one among them
+	slow bool       // the endpoint does not keep its pace
+	lost bool       // the caller does not bring the body
+}
+
+// upload sends a request whose body flows, while it waits for the answer: that may come first.
+func (x *exchange) upload(ctx context.Context, head []byte) (r balance.Result, a Answer, reusable bool) {
+	flow, ok := x.m.Upload.Begin()
+	if !ok {
+		return balance.NotSent, Answer{}, false
+	}
+	p := &pump{x: x, flow: flow, meter: body.NewMeter(x.u.o.Pace), goOn: make(chan struct{}), done: make(chan struct{})}
+	go p.run(head)
+	resp, err := x.head(func(status int) {
+		if status == http.StatusContinue {
+			p.goAhead()
+		}
+	})
+	p.end(err != nil)
+	switch {
+	case err != nil && !p.sent:
+		return p.unsent(ctx), Answer{}, false
+	case err != nil:
+		return x.c.broken(ctx, err), Answer{}, false
+	}
+	r, a, reusable = x.answer(ctx, resp)
+	return r, a, reusable && p.sent
+}
+
+func (p *pump) goAhead() { p.goOnce.Do(func() { close(p.goOn) }) }
+
+// end stops the pump where the request has not gone out whole, and returns when it writes no more. It does not wait for
+// a caller from whom it reads.
+func (p *pump) end(closed bool) {
+	p.stopped.Store(true)
+	p.goAhead()
+	if closed {
+		p.x.c.Close()
+	} else {
+		_ = p.x.c.SetWriteDeadline(time.Unix(1, 0))
+	}
+	p.flow.End()
+	p.mu.Lock()
+	sent := p.sent
+	p.mu.Unlock()
+	if sent {
+		<-p.done // what waits is told before what ended
+		_ = p.x.c.SetWriteDeadline(time.Time{})
+	}
+}
+
+// unsent is the outcome where the request has not gone out whole.
+func (p *pump) unsent(ctx context.Context) balance.Result {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.lost || errors.Is(ctx.Err(), context.Canceled):
+		return balance.Canceled
+	case p.out == 0 || p.x.u.o.Begins == WithLastByte:
+		return balance.ConnectFailed
+	case p.slow || ctx.Err() != nil:
+		return balance.TimedOut
+	}
+	return balance.Errored // and not Reset: a node that turns uploads away so has not gone down
+}
+
+// run sends head and body.
+func (p *pump) run(head []byte) {
+	defer close(p.done)
+	if p.write(false, head) != nil {
+		return
+	}
+	if p.x.m.Upload.Expects {
+		select {
+		case <-p.goOn:
+		case <-time.After(continueAfter):
+		}
+	}
+	for size, passed, last := p.x.m.Upload.Size, int64(0), false; !last; {
+		part, err := p.flow.Next()
+		passed += int64(len(part))
+		switch {
+		case err == nil:
+			last = passed == size
+			err = p.write(last, p.framed(part)...)
+		case err == io.EOF && size < 0:
+			last = true
+			err = p.write(true, p.last())
+		default:
+			p.lose()
+		}
+		if err != nil {
+			return
+		}
+	}
+	if p.x.watch.Sent != nil {
+		p.x.watch.Sent()
+	}
+}
+
+// lose ends an attempt whose body does not come.
+func (p *pump) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped.Load() {
+		p.lost = true
+		p.x.c.Close()
+	}
+}
+
+// write writes a part; last: with the request's last byte. Where that fails, the endpoint may still have said why.
+func (p *pump) write(last bool, parts ...[]byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, err := body.Write(p.x.c.Conn, &p.meter, p.stopped.Load, parts)
+	p.out += n
+	switch {
+	case err == nil:
+		p.sent = last
+	case errors.Is(err, body.ErrSlow):
+		p.slow = true
+		p.x.c.Close()
+	case !p.stopped.Load():
+		_ = p.x.c.SetReadDeadline(time.Now().Add(answerWhole))
+	}
+	return err
+}
+
+var crlf = []byte("\r\n")
+
+// framed is a part of the body as it goes out.
+func (p *pump) framed(part []byte) [][]byte {
+	if p.x.m.Upload.Size >= 0 {
+		return [][]byte{part}
+	}
+	return [][]byte{fmt.Appendf(nil, "%x\r\n", len(part)), part, crlf}
+}
+
+// last is what ends a body without a length.
+func (p *pump) last() []byte {
+	u := p.x.m.Upload
+	text := bytes.NewBufferString("0\r\n")
+	if u.Trailer != nil {
+		_ = Trailers(u.Trailer()).Write(text) // a Buffer takes all
+	}
+	text.Write(crlf)
+	return text.Bytes()
+}
+
+// notTrailers are headers that would change what is known of a message when they come at its end: framing, routing,
+// credentials, and how the body is to be read (RFC 9110, 6.5.1).
+var notTrailers = []string{"Authorization", "Cache-Control", "Connection", "Content-Encoding", "Content-Length", "Content-Range", "Content-Type", "Cookie",
+	"Expect", "Host", "Keep-Alive", "Max-Forwards", "Pragma", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Range", "Set-Cookie", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Www-Authenticate"}
+
+// Trailers are those of a message's trailers that may go on.
+func Trailers(in http.Header) http.Header {
+	out := http.Header{}
+	for name, values := range in {
+		if !slices.Contains(notTrailers, http.CanonicalHeaderKey(name)) && !strings.HasPrefix(http.CanonicalHeaderKey(name), "If-") {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// isLong tells whether an answer's body flows. Errors of endpoints never do: another attempt may follow.
+func (x *exchange) isLong(resp *http.Response) bool {
+	return x.u.o.Pool != nil && x.watch.Begun != nil && !hasNoBody(x.m.Method, resp) && isAnswer(resp.StatusCode) &&
+		(resp.ContentLength > MaxBody || resp.ContentLength < 0)
+}
+
+// Stream is the body of an answer that flows. One goroutine reads it; Abort may be called by any.
+type Stream struct {
+	Length  int64 // -1: not known
+	c       *conn
+	resp    *http.Response
+	most    int64
+	meter   body.Meter
+	closed  chan error
+	claimed atomic.Bool // by the caller, or as a whole
+
+	mu     sync.Mutex // of those below, and of reads
+	window []byte
+	held   int // bytes that were read, and not given out
+	got    int64
+	err    error
+}
+
+// long reads an answer that flows. For a moment it is held back, up to a window: if it breaks meanwhile another attempt
+// may follow, and if it ends it is a short one.
+func (x *exchange) long(ctx context.Context, resp *http.Response) (r balance.Result, a Answer, reusable bool) {
+	window, giveBack, err := x.window(ctx)
+	if err != nil {
+		return balance.Canceled, Answer{}, false // it says nothing of the endpoint
+	}
+	defer giveBack()
+	defer resp.Body.Close()
+	x.c.limit.N = math.MaxInt64
+	s := &Stream{Length: resp.ContentLength, c: x.c, resp: resp, most: x.u.o.Answer, meter: body.NewMeter(x.u.o.Pace), closed: make(chan error, 1), window: window}
+	taken := make(chan bool, 1)
+	bind := func() {
+		if s.claimed.CompareAndSwap(false, true) {
+			x.bound.Store(x.stop() && x.watch.Begun(Answer{Status: resp.StatusCode, Header: resp.Header, Stream: s}))
+			taken <- x.bound.Load()
+		}
+	}
+	if !isEventStream(resp) {
+		timer := time.AfterFunc(answerWhole, bind)
+		defer timer.Stop()
+		s.fill()
+		if s.ended() && s.claimed.CompareAndSwap(false, true) {
+			if err := x.c.SetReadDeadline(time.Time{}); s.err != io.EOF || err != nil {
+				return x.c.broken(ctx, s.err), Answer{}, false
+			}
+			return x.told(resp, bytes.Clone(s.window[:s.held]))
+		}
+	}
+	bind()
+	if !<-taken {
+		return balance.Canceled, Answer{}, false
+	}
+	switch err := <-s.closed; {
+	case err == nil:
+		err = x.c.SetReadDeadline(time.Time{})
+		return balance.OK, Answer{}, err == nil && !resp.Close && x.c.read.Buffered() == 0
+	case errors.Is(err, body.ErrSlow):
+		return balance.TimedOut, Answer{}, false
+	case errors.Is(err, ErrLeft):
+		return balance.Canceled, Answer{}, false
+	}
+	return balance.Reset, Answer{}, false
+}
+
+// window is the buffer of an answer: the upload's own where that needs it no more, so that those who hold one do not wait
+// for another.
+func (x *exchange) window(ctx context.Context) (window []byte, giveBack func(), err error) {
+	if u := x.m.Upload; u != nil {
+		if window = u.Surrender(); window != nil {
+			return window, func() {}, nil
+		}
+	}
+	w, err := x.u.o.Pool.Borrow(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	return *w, func() { x.u.o.Pool.Return(w) }, nil
+}
+
+// isEventStream tells whether an answer's parts are wanted as they come (HTML Living Standard, 9.2).
+func isEventStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// fill reads what is held back, until the window is full, the body has ended, or the caller has been given it.
+func (s *Stream) fill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.held < len(s.window) && s.err == nil && !s.claimed.Load() {
+		s.read(s.window[s.held:])
+	}
+}
+
+// ended tells whether all of the body is in the window.
+func (s *Stream) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil
+}
+
+// read is called with s.mu held.
+func (s *Stream) read(to []byte) {
+	began := time.Now()
+	n, err := s.resp.Body.Read(to)
+	s.meter.Moved(n, time.Since(began))
+	s.held += n
+	s.got += int64(n)
+	s.err = err
+	if s.most > 0 && s.got > s.most {
+		s.err = fmt.Errorf("%w: too long", errSpoilt)
+	}
+}
+
+// Next is the next part of the body, up to a Window, which holds until the next Next; io.EOF: that was all. Any other
+// error means that the body has broken, or that the endpoint does not keep its pace.
+func (s *Stream) Next() ([]byte, error) {
+	_ = s.c.SetReadDeadline(time.Now().Add(s.meter.Wait())) // also of a read that is under way
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == 0 && s.err == nil {
+		s.read(s.window)
+	}
+	part := s.window[:s.held]
+	s.held = 0
+	if len(part) > 0 && (s.err == nil || s.err == io.EOF) {
+		return part, nil
+	}
+	var timeout net.Error
+	if errors.As(s.err, &timeout) && timeout.Timeout() {
+		return nil, fmt.Errorf("%w: %w", body.ErrSlow, s.err)
+	}
+	return nil, s.err
+}
+
+// Trailer is what came after the body.
+func (s *Stream) Trailer() http.Header { return Trailers(s.resp.Trailer) }
+
+// ErrLeft is why a Stream is closed whose caller has left.
+var ErrLeft = errors.New("the caller has left")
+
+// Close says that the body was passed on whole (nil), or why not. It must be called once, by whoever reads.
+func (s *Stream) Close(err error) { s.closed <- err }
+
+// Abort makes Next fail.
+func (s *Stream) Abort() { s.c.Close() }
