--- a/cmd/tuliprock/proxy_test.go
+++ b/cmd/tuliprock/proxy_test.go
@@ -35,6 +35,11 @@
 			w.Header().Set("Content-Type", "text/plain")
 			_, _ = w.Write(body)
 		})
+	case "bulk":
+		handler = http.HandlerFunc(bulk)
+	case "splice":
+		fmt.Fprintln(os.Stderr, spliceLoop(words[1], words[2]))
+		return
 	case "proxy":
 		var turn atomic.Uint64
 		targets := words[2:]
@@ -49,7 +54,8 @@
 	fmt.Fprintln(os.Stderr, http.ListenAndServe(words[1], handler))
 }
 
-func startPeer(t *testing.T, words ...string) {
+// startPeer starts a peer in a process of its own, on one core, and gives its id.
+func startPeer(t *testing.T, words ...string) int {
 	t.Helper()
 	s := &daemonRun{cmd: program()}
 	s.cmd.Env = append(s.cmd.Env, peerEnv+"="+strings.Join(words, " "), "GOMAXPROCS=1")
@@ -58,7 +64,7 @@
 		nc, err := net.Dial("tcp", words[1])
 		if err == nil {
 			nc.Close()
-			return
+			return s.cmd.Process.Pid
 		}
 		if time.Now().After(end) {
 			t.Fatal(err)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -212,10 +212,13 @@
 func (l *Loop) ended(now time.Duration, c *Call, o balance.Outcome, sent time.Duration, a upstream.Answer) {
 	c.out--
 	c.last = a
-	o.Took, o.Final = now-sent, c.over
 	if u := c.Message.Upload; u != nil {
 		o.Spent = u.Spent()
+		if u.Err() != nil { // the caller's fault, and its end
+			l.Leave(now, c)
+		}
 	}
+	o.Took, o.Final = now-sent, c.over
 	if o.Result == balance.OK && !c.over {
 		o.Final = true
 		l.finish(c, Reply{Verdict: Served, Answer: a})
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -157,6 +157,9 @@
 	}
 	w.WriteHeader(a.Status)
 	control := http.NewResponseController(w)
+	if control.Flush() != nil { // the head is not to wait for what may be slow
+		panic(http.ErrAbortHandler)
+	}
 	for {
 		part, next := a.Stream.Next()
 		if next == io.EOF {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -149,8 +149,14 @@
 		}
 		s.write(w, r, q, reply)
 	case <-r.Context().Done():
+		// A body that did not come looks like a caller that has left, too. One that has left may still read: it must not get an
+		// answer that nobody made.
 		if reply, answered := leave(q); answered {
 			s.write(w, r, q, reply)
+		} else if u := c.Message.Upload; u != nil && u.Err() != nil {
+			broken(u.Err()).reject(w)
+		} else {
+			panic(http.ErrAbortHandler)
 		}
 	case <-pool.Done():
 		s.write(w, r, q, core.Reply{Verdict: core.Failed})
--- a/internal/sidecar/long_test.go
+++ b/internal/sidecar/long_test.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -13,8 +11,6 @@
 	"strconv"
 	"strings"
 	"testing"
-
-	"tuliprock/internal/testpeer"
 )
 
 // long is an operators' file whose listener takes long bodies.
@@ -143,6 +139,3 @@
 	}
 }
 
-var _ = bytes.NewReader
-var _ = context.Background
-var _ = testpeer.Patience
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -30,9 +30,14 @@
 // service reads an operators' file. Its classes are the same in all tests.
 func service(t testing.TB, text string) config.Service {
 	t.Helper()
-	f, err := config.ParseFile("test.toml", []byte(`format = 1
+	return serviceOf(t, `format = 1
 		class = [{ name = "look", effect = "safe", deadline = "20s" }, { name = "pay", effect = "unsafe", deadline = "20s" }]
-		`+text))
+		`+text)
+}
+
+func serviceOf(t testing.TB, text string) config.Service {
+	t.Helper()
+	f, err := config.ParseFile("test.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/sidecar/smuggle_test.go
@@ -0,0 +1,84 @@
+package sidecar
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tuliprock/internal/testpeer"
+)
+
+// Requests that two readers could end in different places: none may let a second one through that hides in the first.
+func TestNothingHidesInABody(t *testing.T) {
+	var hidden, seen atomic.Int32
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		if seen.Add(1); strings.Contains(r.URL.Path, "hidden") || r.Header.Get("X-Hidden") != "" {
+			hidden.Add(1)
+		}
+		io.WriteString(nc, testpeer.Served)
+		return true
+	})
+	s := serve(t, service(t, long+poolOf("a", e.Addr)+"[[route]]\npool = \"a\"\nclass = \"pay\"\n"))
+	const secret = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	post := func(headers, body string) string { return "POST /x HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" + body }
+	for _, shape := range []struct {
+		name, text string
+		passes     bool // one request, the outer one, may go on
+	}{
+		{"CL.TE", post("Content-Length: 39\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"+secret), true},
+		{"TE.CL", post("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "21\r\n"+secret+"\r\n0\r\n\r\n"), true},
+		{"TE.TE, one unknown", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\nContent-Length: 5\r\n", "0\r\n\r\n"+secret), false},
+		{"TE.TE, twice", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"+secret), false},
+		{"TE in a list", post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"+secret), false},
+		{"TE that is not chunked", post("Transfer-Encoding: identity\r\nContent-Length: 0\r\n", secret), false},
+		{"TE with a tab", post("Transfer-Encoding:\tchunked\r\n", "0\r\n\r\n"+secret), true},
+		{"TE with a vertical tab", post("Transfer-Encoding: \vchunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"+secret), false},
+		{"TE with a space before the colon", post("Transfer-Encoding : chunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"+secret), false},
+		{"TE in a folded line", post("X: y\r\n Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"+secret), false},
+		{"TE behind a bare CR", post("X: y\rTransfer-Encoding: chunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"+secret), false},
+		{"TE in HTTP/1.0", "POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + secret, false},
+		{"two lengths", post("Content-Length: 5\r\nContent-Length: 6\r\n", "abcde"+secret), false},
+		{"lengths in a list", post("Content-Length: 5, 5\r\n", "abcde"+secret), false},
+		{"a length with a sign", post("Content-Length: +5\r\n", "abcde"+secret), false},
+		{"a negative length", post("Content-Length: -1\r\n", secret), false},
+		{"a length in hex", post("Content-Length: 0x5\r\n", "abcde"+secret), false},
+		{"a huge length", post("Content-Length: 99999999999999999999\r\n", secret), false},
+		{"a chunk of 16 digits", post("Transfer-Encoding: chunked\r\n", "FFFFFFFFFFFFFFFF\r\n"+secret), false},
+		{"a chunk of 17 digits", post("Transfer-Encoding: chunked\r\n", "00000000000000000\r\n\r\n"+secret), false},
+		{"a negative chunk", post("Transfer-Encoding: chunked\r\n", "-1\r\n"+secret), false},
+		{"a chunk in 0x", post("Transfer-Encoding: chunked\r\n", "0x5\r\nabcde\r\n0\r\n\r\n"+secret), false},
+		{"a chunk longer than told", post("Transfer-Encoding: chunked\r\n", "3\r\nabcde\r\n0\r\n\r\n"+secret), false},
+		{"a chunk's extension with a bare LF", post("Transfer-Encoding: chunked\r\n", "5;a\nb\r\nabcde\r\n0\r\n\r\n"+secret), false},
+		{"extensions without end", post("Transfer-Encoding: chunked\r\n", strings.Repeat("1;"+strings.Repeat("x", 2000)+"\r\na\r\n", 200)+"0\r\n\r\n"+secret), false},
+		{"a trailer that frames", post("Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\nX-Ok: 1\r\n\r\n"+secret), true},
+		{"a trailer named in the head that frames", post("Transfer-Encoding: chunked\r\nTrailer: Content-Length\r\n", "0\r\nContent-Length: 40\r\n\r\n"+secret), false},
+		{"a header that is dropped by name", post("Connection: Content-Length\r\nContent-Length: 5\r\n", "abcde"), true},
+	} {
+		t.Run(shape.name, func(t *testing.T) {
+			was := seen.Load()
+			nc, err := net.Dial("tcp", s.at("one"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(testpeer.Patience))
+			io.WriteString(nc, shape.text)
+			nc.(*net.TCPConn).CloseWrite()
+			answers, _ := io.ReadAll(nc)
+			if n := strings.Count(string(answers), "HTTP/1.1 "); n > 1 {
+				t.Errorf("%d answers: %q", n, answers)
+			}
+			reached := int(seen.Load() - was)
+			if hidden.Swap(0) != 0 || reached > 1 || reached == 1 && !shape.passes {
+				t.Errorf("%d requests reached the endpoint: %q", reached, answers)
+			}
+			if strings.HasPrefix(string(answers), "HTTP/1.1 5") && !strings.HasPrefix(string(answers), "HTTP/1.1 501 ") /* RFC 9112, 6.1 */ || strings.HasPrefix(string(answers), "HTTP/1.1 429") {
+				t.Errorf("bad input is answered %q", answers)
+			}
+		})
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -238,11 +238,14 @@
 	closed  chan error
 	claimed atomic.Bool // by the caller, or as a whole
 
-	mu     sync.Mutex // of those below, and of reads
-	window []byte
-	held   int // bytes that were read, and not given out
-	got    int64
-	err    error
+	mu      sync.Mutex
+	quiet   sync.Cond // of reading
+	window  []byte
+	held    int // bytes of it that were read
+	given   int // and given out
+	reading bool
+	got     int64
+	err     error
 }
 
 // long reads an answer that flows. For a moment it is held back, up to a window: if it breaks meanwhile another attempt
@@ -256,6 +259,7 @@
 	defer resp.Body.Close()
 	x.c.limit.N = math.MaxInt64
 	s := &Stream{Length: resp.ContentLength, c: x.c, resp: resp, most: x.u.o.Answer, meter: body.NewMeter(x.u.o.Pace), closed: make(chan error, 1), window: window}
+	s.quiet.L = &s.mu
 	taken := make(chan bool, 1)
 	bind := func() {
 		if s.claimed.CompareAndSwap(false, true) {
@@ -315,7 +319,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.held < len(s.window) && s.err == nil && !s.claimed.Load() {
-		s.read(s.window[s.held:])
+		s.read()
 	}
 }
 
@@ -326,31 +330,42 @@
 	return s.err != nil
 }
 
-// read is called with s.mu held.
-func (s *Stream) read(to []byte) {
+// read reads once, into what is free of the window. s.mu is held, but let go meanwhile: what is there can be given out.
+func (s *Stream) read() {
+	s.reading = true
+	to := s.window[s.held:]
+	s.mu.Unlock()
 	began := time.Now()
 	n, err := s.resp.Body.Read(to)
-	s.meter.Moved(n, time.Since(began))
+	waited := time.Since(began)
+	s.mu.Lock()
+	s.meter.Moved(n, waited)
 	s.held += n
 	s.got += int64(n)
 	s.err = err
 	if s.most > 0 && s.got > s.most {
 		s.err = fmt.Errorf("%w: too long", errSpoilt)
 	}
+	s.reading = false
+	s.quiet.Broadcast()
 }
 
 // Next is the next part of the body, up to a Window, which holds until the next Next; io.EOF: that was all. Any other
 // error means that the body has broken, or that the endpoint does not keep its pace.
 func (s *Stream) Next() ([]byte, error) {
-	_ = s.c.SetReadDeadline(time.Now().Add(s.meter.Wait())) // also of a read that is under way
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.held == 0 && s.err == nil {
-		s.read(s.window)
+	for s.given == s.held && s.err == nil {
+		_ = s.c.SetReadDeadline(time.Now().Add(s.meter.Wait())) // also of a read that is under way
+		if s.reading {
+			s.quiet.Wait()
+			continue
+		}
+		s.given, s.held = 0, 0
+		s.read()
 	}
-	part := s.window[:s.held]
-	s.held = 0
-	if len(part) > 0 && (s.err == nil || s.err == io.EOF) {
+	if part := s.window[s.given:s.held]; len(part) > 0 {
+		s.given = s.held
 		return part, nil
 	}
 	var timeout net.Error
