--- a/internal/body/pace.go
+++ b/internal/body/pace.go
@@ -13,10 +13,11 @@
 type Meter struct {
 	pace   Pace
 	credit time.Duration
+	set    time.Time // the limit of time that is set on the connection
 }
 
 // NewMeter begins with the whole of Idle in hand.
-func NewMeter(p Pace) Meter { return Meter{p, p.Idle} }
+func NewMeter(p Pace) Meter { return Meter{pace: p, credit: p.Idle} }
 
 // Wait is how long to wait for the next byte at most; 0: the peer is too slow.
 func (m *Meter) Wait() time.Duration {
@@ -26,6 +27,24 @@
 	return max(m.credit, 0)
 }
 
+// slack is the part of Wait by which a limit that is set may fall short of it: setting one costs as much as a small part of a
+// body.
+const slack = 8
+
+// Limit is when a wait that begins now ends; anew is false where the limit set last will do.
+func (m *Meter) Limit(now time.Time) (at time.Time, anew bool) {
+	wait := m.Wait()
+	at = now.Add(wait)
+	if short := at.Sub(m.set); short >= 0 && short <= wait/slack {
+		return m.set, false
+	}
+	m.set = at
+	return at, true
+}
+
+// Lifted says that no limit is set on the connection any more.
+func (m *Meter) Lifted() { m.set = time.Time{} }
+
 // Moved says that n bytes came or went after a wait.
 func (m *Meter) Moved(n int, waited time.Duration) {
 	if m.pace.Rate <= 0 {
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -124,7 +124,7 @@
 		f.at = u.held
 		return part, nil
 	}
-	if part := u.ahead; part != nil {
+	if part := u.ahead; part != nil { // and what is held goes under with the next read
 		u.ahead, u.spent = nil, true
 		return part, nil
 	}
@@ -133,7 +133,10 @@
 	}
 	to := (*u.window)[u.held:Held]
 	beyond := len(to) == 0
-	if beyond {
+	switch {
+	case u.spent: // what was held is of no use any more
+		to = *u.window
+	case beyond:
 		to = (*u.window)[Held:]
 	}
 	n, err := u.readInto(to)
@@ -163,8 +166,10 @@
 	u.reading = true
 	u.mu.Unlock()
 	began := time.Now()
-	err := u.Deadline(began.Add(u.meter.Wait()))
-	n := 0
+	n, err := 0, error(nil)
+	if at, anew := u.meter.Limit(began); anew {
+		err = u.Deadline(at)
+	}
 	for err == nil && n == 0 {
 		n, err = u.Body.Read(to)
 	}
--- a/internal/body/write.go
+++ b/internal/body/write.go
@@ -14,13 +14,15 @@
 var ErrStopped = errors.New("stopped")
 
 // Write writes all of the buffers to a peer that keeps its pace, and tells how much went out. It uses the connection's
-// deadline for writes, and leaves none behind if all went well. Whoever wants it to end makes stopped true and then
+// deadline for writes, and leaves it behind, for the next Write by the same Meter. Whoever wants it to end makes stopped true and then
 // sets a deadline in the past, in this order.
 func Write(nc net.Conn, m *Meter, stopped func() bool, buffers net.Buffers) (sent int64, err error) {
 	for len(buffers) > 0 {
 		began := time.Now()
-		if err := nc.SetWriteDeadline(began.Add(m.Wait())); err != nil {
-			return sent, err
+		if at, anew := m.Limit(began); anew {
+			if err := nc.SetWriteDeadline(at); err != nil {
+				return sent, err
+			}
 		}
 		if stopped() {
 			return sent, ErrStopped
@@ -37,6 +39,9 @@
 		case n == 0 || m.Wait() == 0:
 			return sent, ErrSlow
 		}
+		if err != nil {
+			m.Lifted() // it has passed
+		}
 	}
-	return sent, nc.SetWriteDeadline(time.Time{})
+	return sent, nil
 }
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -44,6 +44,55 @@
 	partial list.List // a part of a head has come
 }
 
+// Limit holds a listener of TCP connections to a number that is open at once: beyond it callers wait in the system's
+// queue. (netutil.LimitListener does the same, but hides what can splice.)
+func Limit(l net.Listener, most int) net.Listener {
+	return &limited{Listener: l, room: make(chan struct{}, most), closed: make(chan struct{})}
+}
+
+type limited struct {
+	net.Listener
+	room   chan struct{} // holds one for each that is open
+	closed chan struct{}
+	once   sync.Once
+}
+
+// tcpConn is a connection of a limited listener.
+type tcpConn struct {
+	*net.TCPConn
+	once  sync.Once
+	leave func()
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	select {
+	case l.room <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	leave := func() { <-l.room }
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	return &tcpConn{TCPConn: nc.(*net.TCPConn), leave: leave}, nil
+}
+
+// Close implements net.Listener.
+func (l *limited) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Close implements net.Conn.
+func (c *tcpConn) Close() error {
+	err := c.TCPConn.Close()
+	c.once.Do(c.leave)
+	return err
+}
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
@@ -236,6 +285,30 @@
 	return c.Conn.Write(b)
 }
 
+// splicer is what can go to a connection unseen.
+type splicer interface {
+	Splice(*net.TCPConn, *body.Meter) (int64, error)
+}
+
+// splice is a source whose bytes need not be seen; net/http hands it to ReadFrom.
+type splice struct {
+	io.Reader
+	splicer
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	s, ok := r.(splice)
+	to, plain := c.Conn.(*tcpConn)
+	if m := c.pace.Load(); ok && plain && m != nil {
+		return s.Splice(to.TCPConn, m)
+	}
+	if ok {
+		return 0, nil
+	}
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 func never() bool { return false }
 
 // connKey finds a request's connection in its context.
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -135,7 +135,7 @@
 
 // pass passes an answer on as it comes. One that breaks is broken for the caller, too: its connection ends short of the
 // length, or without the last chunk (RFC 9112, 8).
-func (s *Server) pass(w http.ResponseWriter, r *http.Request, q *asked, a upstream.Answer) {
+func (s *Server) pass(w *closing, r *http.Request, q *asked, a upstream.Answer) {
 	err := upstream.ErrLeft
 	defer func() { a.Stream.Close(err) }()
 	for _, ctx := range []context.Context{r.Context(), s.flowing} {
@@ -157,6 +157,7 @@
 	}
 	w.WriteHeader(a.Status)
 	control := http.NewResponseController(w)
+	spliced, _ := w.ResponseWriter.(io.ReaderFrom)
 	if control.Flush() != nil { // the head is not to wait for what may be slow
 		panic(http.ErrAbortHandler)
 	}
@@ -172,6 +173,12 @@
 		if _, e := w.Write(part); e != nil || control.Flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
+		for n := int64(1); a.Stream.Length >= 0 && spliced != nil && n > 0; {
+			var e error
+			if n, e = spliced.ReadFrom(splice{nil, a.Stream}); e != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
 	}
 	for name, values := range a.Stream.Trailer() {
 		h[http.TrailerPrefix+name] = values
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -199,7 +199,7 @@
 func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // write sends the final answer.
-func (s *Server) write(w http.ResponseWriter, r *http.Request, q *asked, reply core.Reply) {
+func (s *Server) write(w *closing, r *http.Request, q *asked, reply core.Reply) {
 	if reply.Answer.Stream != nil {
 		s.pass(w, r, q, reply.Answer)
 		return
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"tuliprock/internal/body"
 	"tuliprock/internal/config"
 	"tuliprock/internal/front"
@@ -38,7 +36,7 @@
 // newListener puts a server behind a socket; accept starts it.
 func newListener(spec config.Listener, via string, socket *hold, current *front.Current, bodies *body.Pool, log *slog.Logger) *listener {
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	limited := netutil.LimitListener(socket, spec.Connections+config.SpareCallers)
+	limited := front.Limit(socket, spec.Connections+config.SpareCallers)
 	l := &listener{spec: spec, via: via, socket: socket, served: make(chan struct{}),
 		conns: front.NewListener(limited, spec.Connections, spec.HeadTimeout)}
 	l.callers = front.New(front.Options{Head: spec.HeadBytes, Body: spec.BodyBytes, HeadTimeout: spec.HeadTimeout, BodyTimeout: spec.BodyTimeout,
--- a/internal/sidecar/long_test.go
+++ b/internal/sidecar/long_test.go
@@ -138,4 +138,3 @@
 		}
 	}
 }
-
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -256,8 +257,7 @@
 		return balance.Canceled, Answer{}, false // it says nothing of the endpoint
 	}
 	defer giveBack()
-	defer resp.Body.Close()
-	x.c.limit.N = math.MaxInt64
+	x.c.limit.N = math.MaxInt64 // and the body is not closed: that would read on for a part that was spliced past it
 	s := &Stream{Length: resp.ContentLength, c: x.c, resp: resp, most: x.u.o.Answer, meter: body.NewMeter(x.u.o.Pace), closed: make(chan error, 1), window: window}
 	s.quiet.L = &s.mu
 	taken := make(chan bool, 1)
@@ -334,6 +334,9 @@
 func (s *Stream) read() {
 	s.reading = true
 	to := s.window[s.held:]
+	if s.Length >= 0 {
+		to = to[:min(int64(len(to)), s.Length-s.got)]
+	}
 	s.mu.Unlock()
 	began := time.Now()
 	n, err := s.resp.Body.Read(to)
@@ -362,6 +365,10 @@
 			continue
 		}
 		s.given, s.held = 0, 0
+		if s.Length >= 0 && s.got == s.Length { // spliced past net/http's own count
+			s.err = io.EOF
+			break
+		}
 		s.read()
 	}
 	if part := s.window[s.given:s.held]; len(part) > 0 {
@@ -375,6 +382,51 @@
 	return nil, s.err
 }
 
+const (
+	spliceLeast = 256 << 10              // what is left of a body, from which splicing is worth its system calls
+	splicePiece = 1 << 20                // what a pipe of the system holds at most
+	spliceWait  = 100 * time.Millisecond // for the endpoint within a piece
+)
+
+// Splice passes a piece of the body to a caller's connection without looking at it (splice(2), by way of
+// net.TCPConn.ReadFrom); 0 bytes: there is nothing to gain, and Next is to go on. It waits for the endpoint only for a
+// moment: who is too slow shows in Next and in plain writes.
+func (s *Stream) Splice(to *net.TCPConn, m *body.Meter) (n int64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, ok := s.c.Conn.(*net.TCPConn)
+	left := s.Length - s.got
+	if !ok || s.Length < 0 || left < spliceLeast || s.reading || s.given < s.held || s.err != nil || s.c.read.Buffered() > 0 || s.most > 0 {
+		return 0, nil
+	}
+	began := time.Now()
+	_ = from.SetReadDeadline(began.Add(spliceWait))
+	if at, anew := m.Limit(began); anew {
+		if err := to.SetWriteDeadline(at); err != nil {
+			return 0, err
+		}
+	}
+	want := min(left, splicePiece)
+	n, err = to.ReadFrom(&io.LimitedReader{R: from, N: want})
+	took := time.Since(began)
+	s.got += n
+	switch {
+	case err == nil && n < want:
+		s.err = io.ErrUnexpectedEOF
+	case err == nil:
+		m.Moved(int(n), took)
+		s.meter.Moved(int(n), 0)
+	case errors.Is(err, os.ErrDeadlineExceeded) && took < m.Wait()-m.Wait()/8: // the endpoint has paused
+		s.meter.Moved(int(n), spliceWait)
+		err = nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n, body.ErrSlow
+	default:
+		s.err = err
+	}
+	return n, err
+}
+
 // Trailer is what came after the body.
 func (s *Stream) Trailer() http.Header { return Trailers(s.resp.Trailer) }
 
