What flows ends with the daemon; tests of the end, reload, drain, early answers, trickles

Need: 500 uploads that waited for a window kept a daemon that was told to end for 30 s; an upload's answer could come behind a made-up 200 where the caller had half-closed; a caller that waits for a word could be asked for a body that nobody wanted.

Change: waiting and beginning uploads are refused when the rest is cut off; nothing is flushed where no answer has begun; a flow ends before its pump goes ahead. The module's tests know bodies that flow.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -296,10 +296,11 @@
 	return true
 }
 
-// mayRefuse tells whether "trying again is harmless" is true. Of a request whose body flows nothing is left to
-// doubt: there it is true only if no attempt can have run.
+// mayRefuse tells whether "trying again is harmless" is true. Of a request whose body flows nothing is left
+// to doubt: there it is true only if no attempt can have run.
 func (q *request) mayRefuse() bool {
-	return q.Flow == 0 && (q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Group == GroupAll) ||
+	harmless := q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Group == GroupAll
+	return harmless && q.Flow == 0 ||
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.out || a.mayRun })
 }
 
--- /dev/null
+++ b/cmd/tuliprock/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raceDetector = false
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -164,12 +164,12 @@
 // readInto reads with u.mu let go: a caller may take its time. u.mu is held before and after.
 func (u *Upload) readInto(to []byte) (int, error) {
 	u.reading = true
-	u.mu.Unlock()
 	began := time.Now()
 	n, err := 0, error(nil)
 	if at, anew := u.meter.Limit(began); anew {
 		err = u.Deadline(at)
 	}
+	u.mu.Unlock()
 	for err == nil && n == 0 {
 		n, err = u.Body.Read(to)
 	}
@@ -240,6 +240,16 @@
 	f.u.quiet.Broadcast() // it may wait for another's read
 }
 
+// Stop ends a read that is under way, and allows no further one.
+func (u *Upload) Stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.whole && u.err == nil {
+		u.over = true
+		_ = u.Deadline(time.Unix(1, 0))
+	}
+}
+
 // Surrender gives the window away until Close, once nothing is read into it any more: the body is spent. It is nil while
 // the body still comes.
 func (u *Upload) Surrender() []byte {
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -55,6 +55,13 @@
 	return b
 }
 
+// ending refuses, too.
+func ending() *bad {
+	b := refusal(statusRefused, "the daemon is about to end")
+	b.retryAfter = time.Second
+	return b
+}
+
 // broken is why a body could not be taken to its end.
 func broken(err error) *bad {
 	switch {
@@ -84,6 +91,7 @@
 		return
 	}
 	wait, cancel := context.WithDeadline(r.Context(), arrived.Add(q.left))
+	defer context.AfterFunc(s.flowing, cancel)()
 	u, err := body.NewUpload(wait, s.o.Pool, body.Source{Body: r.Body, Deadline: control.SetReadDeadline, Size: r.ContentLength, Most: s.o.Body,
 		Trailer: func() http.Header { return r.Trailer }, Expects: expects(r), Pace: s.o.Pace})
 	cancel()
@@ -93,14 +101,20 @@
 	}
 	w.upload = u
 	defer func() {
-		if !u.Whole() {
-			_ = control.Flush() // the answer is not to wait
+		if w.told && !u.Whole() {
+			_ = control.Flush() // the answer is not to wait; where there is none net/http would make one up
 		}
 		u.Close(lingerTime, lingerBytes)
 	}()
 	whole := false
 	if !u.Expects {
-		if whole, err = u.Fill(); err != nil {
+		unhurt := context.AfterFunc(s.flowing, u.Stop)
+		whole, err = u.Fill()
+		switch unhurt(); {
+		case err != nil && s.flowing.Err() != nil:
+			ending().reject(w)
+			return
+		case err != nil:
 			broken(err).reject(w)
 			return
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -185,10 +185,12 @@
 	ending *atomic.Bool
 	upload *body.Upload // nil: the request's body is here
 	always bool         // what follows on the connection can't be trusted
+	told   bool         // an answer has begun
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *closing) WriteHeader(status int) {
+	w.told = true
 	if w.ending.Load() || w.always || w.upload != nil && !w.upload.Whole() {
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/internal/sidecar/longend_test.go
@@ -0,0 +1,219 @@
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tuliprock/internal/testpeer"
+)
+
+const pays = "[[route]]\npool = \"a\"\nclass = \"pay\"\n"
+
+// slowUpload sends a part of an upload, and gives what the answer comes to and the means to send on.
+func slowUpload(t *testing.T, addr string, size int) (nc net.Conn, answer chan string) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(2 * testpeer.Patience))
+	fmt.Fprintf(nc, "POST /up HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	answer = make(chan string, 1)
+	go func() {
+		all, _ := io.ReadAll(nc)
+		answer <- string(all)
+	}()
+	return nc, answer
+}
+
+// After SIGTERM what flows may end; what does not end in time is cut off, so that callers can tell, and the daemon ends.
+func TestTheEndCutsOffWhatStillFlows(t *testing.T) {
+	began := make(chan bool, 10)
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.Header().Set("Content-Length", "10000000")
+			w.Write(text(1 << 20))
+			w.(http.Flusher).Flush()
+			began <- true
+			<-r.Context().Done()
+			return
+		}
+		io.CopyN(io.Discard, r.Body, 1<<10)
+		began <- true
+		if n, _ := io.Copy(io.Discard, r.Body); n == 1<<20-1<<10 {
+			fmt.Fprint(w, "whole")
+		}
+	}))
+	defer e.Close()
+	s := serve(t, service(t, "[daemon]\ndrain_timeout = \"1s\"\n"+long+poolOf("a", e.Listener.Addr().String())+pays))
+	addr := s.at("one")
+	quick, quickAnswer := slowUpload(t, addr, 1<<20)
+	quick.Write(text(64 << 10))
+	stuck, stuckAnswer := slowUpload(t, addr, 1<<20)
+	stuck.Write(text(64 << 10))
+	early, earlyAnswer := slowUpload(t, addr, 1<<20) // of which nobody has heard
+	early.Write(text(100))
+	down := make(chan error, 1)
+	go func() {
+		resp, err := (&http.Transport{}).RoundTrip(mustGet("http://" + addr + "/down"))
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		down <- err
+	}()
+	for range 3 {
+		<-began
+	}
+	s.term()
+	quick.Write(text(1 << 20)[64<<10:])
+	if got := <-quickAnswer; !strings.HasPrefix(got, "HTTP/1.1 200 OK") || !strings.HasSuffix(got, "whole") {
+		t.Errorf("an upload that ends in time: %q", got)
+	}
+	if got := <-stuckAnswer; !strings.HasPrefix(got, "HTTP/1.1 502 ") {
+		t.Errorf("an upload that does not: %q", got)
+	}
+	if got := <-earlyAnswer; !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "Retry-After") {
+		t.Errorf("an upload of which nobody has heard: %q", got)
+	}
+	if err := <-down; !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a download: %v", err)
+	}
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A reload leaves what flows to flow: the request is served by the configuration that took it.
+func TestAReloadLeavesWhatFlows(t *testing.T) {
+	began := make(chan bool, 1)
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.CopyN(io.Discard, r.Body, 1<<10)
+		began <- true
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n+1<<10)
+	}))
+	defer e.Close()
+	file := long + poolOf("a", e.Listener.Addr().String()) + pays
+	s := serve(t, service(t, file))
+	nc, answer := slowUpload(t, s.at("one"), 1<<20)
+	nc.Write(text(64 << 10))
+	<-began
+	s.reload(t, strings.Replace(file, "body_bytes = 1073741824", "body_bytes = 100", 1)) // another server takes over the socket
+	nc.Write(text(1 << 20)[64<<10:])
+	if got := <-answer; !strings.HasPrefix(got, "HTTP/1.1 200 OK") || !strings.Contains(got, "Connection: close") {
+		t.Errorf("%q", got)
+	}
+}
+
+// A member that is told to drain halfway finishes what it has, and gets nothing new.
+func TestADrainHalfwayLeavesTheUpload(t *testing.T) {
+	began := make(chan bool, 1)
+	var others atomic.Int32
+	a := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			others.Add(1)
+			return
+		}
+		io.CopyN(io.Discard, r.Body, 1<<10)
+		began <- true
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n+1<<10)
+	}))
+	defer a.Close()
+	b := echo(t, "B")
+	one := "[[pool]]\nname = \"a\"\n[[pool.member]]\naddress = \"" + a.Listener.Addr().String() + "\"\n"
+	s := serve(t, service(t, long+one+pays))
+	nc, answer := slowUpload(t, s.at("one"), 1<<20)
+	nc.Write(text(64 << 10))
+	<-began
+	s.reload(t, long+one+"state = \"draining\"\n[[pool.member]]\naddress = \""+b+"\"\n"+pays)
+	for range 20 {
+		get(t, s.at("one"), "h", "/")
+	}
+	nc.Write(text(1 << 20)[64<<10:])
+	if got := <-answer; !strings.HasPrefix(got, "HTTP/1.1 200 OK") {
+		t.Errorf("%q", got)
+	}
+	if n := others.Load(); n != 0 {
+		t.Errorf("%d requests went to a member that drains", n)
+	}
+}
+
+// A member that answers before the body's end is heard at once, and the rest of the body is nobody's.
+func TestAnEarlyAnswerGoesOnAtOnce(t *testing.T) {
+	for _, status := range []int{200, 403, 413} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				nc.Read(make([]byte, 1<<10))
+				fmt.Fprintf(nc, "HTTP/1.1 %d Early\r\nContent-Length: 5\r\n\r\nearly", status)
+			}
+		}()
+		s := serve(t, service(t, long+poolOf("a", l.Addr().String())+pays))
+		nc, answer := slowUpload(t, s.at("one"), 1<<30)
+		nc.Write(text(64 << 10))
+		got := <-answer // the body never ends, and the connection does
+		if !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", status)) || !strings.HasSuffix(got, "early") || !strings.Contains(got, "Connection: close") {
+			t.Errorf("%d: %q", status, got)
+		}
+	}
+}
+
+// Two hundred callers that trickle reach nobody, and leave the others alone.
+func TestCallersThatTrickleReachNobody(t *testing.T) {
+	var reached atomic.Int32
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		if r.Method == http.MethodPost {
+			reached.Add(1)
+		}
+		io.WriteString(nc, testpeer.Served)
+		return true
+	})
+	s := serve(t, service(t, long+"flow_idle = \"1s\"\n"+poolOf("a", e.Addr)+pays))
+	var answers []chan string
+	for range 200 {
+		nc, answer := slowUpload(t, s.at("one"), 1<<30)
+		answers = append(answers, answer)
+		go func() {
+			for {
+				if _, err := nc.Write([]byte("x")); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	for range 50 {
+		if resp, _ := get(t, s.at("one"), "h", "/"); resp.StatusCode != http.StatusOK {
+			t.Errorf("another caller meanwhile: %s", resp.Status)
+		}
+	}
+	for _, answer := range answers {
+		if got := <-answer; !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+			t.Errorf("%q", got)
+		}
+	}
+	if n := reached.Load(); n != 0 {
+		t.Errorf("%d reached the endpoint", n)
+	}
+	if held, _ := s.bodies.Held(); held != 0 {
+		t.Errorf("%d bytes are still held", held)
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -92,13 +92,13 @@
 // a caller from whom it reads.
 func (p *pump) end(closed bool) {
 	p.stopped.Store(true)
+	p.flow.End() // before it goes ahead: a caller that waits for a word must not be asked for what nobody wants
 	p.goAhead()
 	if closed {
 		p.x.c.Close()
 	} else {
 		_ = p.x.c.SetWriteDeadline(time.Unix(1, 0))
 	}
-	p.flow.End()
 	p.mu.Lock()
 	sent := p.sent
 	p.mu.Unlock()
@@ -134,6 +134,9 @@
 		case <-p.goOn:
 		case <-time.After(continueAfter):
 		}
+		if p.stopped.Load() {
+			return
+		}
 	}
 	for size, passed, last := p.x.m.Upload.Size, int64(0), false; !last; {
 		part, err := p.flow.Next()
