--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -90,7 +90,7 @@
 		refusal(http.StatusBadRequest, "%w", err).reject(w)
 		return
 	}
-	wait, cancel := context.WithDeadline(r.Context(), arrived.Add(q.left))
+	wait, cancel := context.WithDeadline(r.Context(), s.inTime(arrived.Add(q.left-wayBack)))
 	defer context.AfterFunc(s.flowing, cancel)()
 	u, err := body.NewUpload(wait, s.o.Pool, body.Source{Body: r.Body, Deadline: control.SetReadDeadline, Size: r.ContentLength, Most: s.o.Body,
 		Trailer: func() http.Header { return r.Trailer }, Expects: expects(r), Pace: s.o.Pace})
