A body that did not come is told so, whichever is heard first

Need: under load the fault matrix saw a caller's silence end without the 408: net/http cancels the request before the failed read has returned. Change: wait for that read.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -108,6 +108,16 @@
 	return u.err
 }
 
+// Settle is Err once no read is under way: net/http tells of a read that failed before the read returns.
+func (u *Upload) Settle() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.reading {
+		u.quiet.Wait()
+	}
+	return u.err
+}
+
 // read reads once: into what is free of the beginning's half, or else the other half. io.EOF is the body's end. A read
 // of a flow that has ended may still be under way: what it brings is this one's.
 func (u *Upload) read(f *Flow) ([]byte, error) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -153,7 +153,7 @@
 		// answer that nobody made.
 		if reply, answered := leave(q); answered {
 			s.write(w, r, q, reply)
-		} else if u := c.Message.Upload; u != nil && u.Err() != nil {
+		} else if u := c.Message.Upload; u != nil && u.Settle() != nil {
 			broken(u.Err()).reject(w)
 		} else {
 			panic(http.ErrAbortHandler)
