One piece where the change had two: the wait for an answer, refusals, accept loops, lookups

Front's four ways out of the wait for an answer each asked whether it had come, and one did not; noMemory and ending were twins; the module set a request's end in two places; the measurement of lookups was a load generator of its own beside internal/loadgen.

Change: one way out of the wait; refused; Balancer.due; Upload.settle; Meter.Lifted, which nothing needed, is gone; testpeer.Accept, use and memory serve where copies stood; lookups go through loadgen, in an open loop. Behaviour and assertions are as they were.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -179,7 +179,7 @@
 	}
 	b.count(now)
 	q := &request{Request: r, class: c, arrived: now, spot: len(b.live)}
-	q.giveUp = r.Deadline - max(b.s.Resolution, time.Millisecond)
+	b.due(q, r.Deadline)
 	b.requests[r.ID], b.live = q, append(b.live, q)
 	b.budget = min(b.budget+resendShare, resendMost)
 	over := b.overShare(now, q)
--- a/balance/state.go
+++ b/balance/state.go
@@ -315,7 +315,7 @@
 		b.tally(a, -1)
 		a.flows, a.waits = false, now
 		b.tally(a, 1)
-		q.Deadline, q.giveUp = deadline, deadline-max(b.s.Resolution, time.Millisecond)
+		b.due(q, deadline)
 		a.overdueAt = b.overdueFrom(now, q, a.e)
 		b.wakeAt(b.lookAt(q))
 	}
@@ -346,6 +346,11 @@
 	b.out += by
 }
 
+// due sets when a request's client stops waiting.
+func (b *Balancer) due(q *request, deadline time.Duration) {
+	q.Deadline, q.giveUp = deadline, deadline-max(b.s.Resolution, time.Millisecond)
+}
+
 // ends is when a request that is out is given up: not by its deadline while its body still flows in.
 func (q *request) ends() time.Duration {
 	for i := range q.attempts {
--- a/cmd/tuliprock/long_test.go
+++ b/cmd/tuliprock/long_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +21,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"tuliprock/internal/loadgen"
+	"tuliprock/internal/schedule"
 	"tuliprock/internal/testpeer"
 )
 
@@ -295,48 +296,33 @@
 	}
 }
 
-// lookups asks for little at a steady pace, and gives the latencies from when each was due: the middle one and p99.
+// lookups asks for little at a steady pace, and gives the latencies from when each was due, in µs (the middle one and p99),
+// and the share that was refused.
 func lookups(t *testing.T, addr string, length time.Duration) (p50, p99, refused float64) {
 	t.Helper()
-	const callers, each = 8, 10 * time.Millisecond
-	var mu sync.Mutex
-	var took []float64
-	var busy sync.WaitGroup
-	began := time.Now()
-	for i := range callers {
-		busy.Go(func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer nc.Close()
-			in := bufio.NewReader(nc)
-			for n := 0; ; n++ {
-				due := began.Add(each*time.Duration(n) + each*time.Duration(i)/callers)
-				if due.Sub(began) > length || time.Since(began) > 2*length {
-					return
-				}
-				time.Sleep(time.Until(due))
-				_, _ = io.WriteString(nc, "GET /item?give=512 HTTP/1.1\r\nHost: h\r\n\r\n")
-				resp, err := http.ReadResponse(in, nil)
-				if err != nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
-					t.Errorf("%v, %v", resp, err)
-					return
-				}
-				_, _ = io.Copy(io.Discard, resp.Body)
-				mu.Lock()
-				if resp.StatusCode != http.StatusOK {
-					refused++
-				}
-				took = append(took, float64(time.Since(due).Microseconds()))
-				mu.Unlock()
-			}
-		})
+	const connections = 500
+	request, err := loadgen.Simple(http.MethodGet, "http://"+addr+"/item?give=512", nil, nil)
+	if err != nil {
+		t.Fatal(err)
 	}
-	busy.Wait()
-	slices.Sort(took)
-	return took[len(took)/2], took[len(took)*99/100], refused / float64(len(took))
+	send := loadgen.NewHTTP(request, connections, nil)
+	defer send.Close()
+	r, err := loadgen.Run(t.Context(), loadgen.Options{Process: schedule.Process{Rate: schedule.Steady(800), Gaps: schedule.Even}, Seed: 1, For: length,
+		Wait: testpeer.Patience, Connections: connections}, send)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Invalid != "" {
+		t.Log("not valid:", r.Invalid)
+	}
+	ended := r.Ended()
+	for how, n := range ended {
+		if how != "200" && how != "503" {
+			t.Errorf("%d lookups: %s", n, how)
+		}
+	}
+	us := func(share float64) float64 { return float64(r.All.At(share).Microseconds()) }
+	return us(0.5), us(0.99), float64(ended["503"]) / float64(r.Due)
 }
 
 // The measurement: lookups alone, beside 50 long transfers through the same daemon and pool, and beside the same ones that go past the
--- a/cmd/tuliprock/proxy_test.go
+++ b/cmd/tuliprock/proxy_test.go
@@ -146,10 +146,7 @@
 			t.Logf("%d connections: %.0f and %.0f a second, p50 %v and %v, p99 %v and %v", connections, rate[0], rate[1], p50[0], p50[1], p99[0], p99[1])
 			rates, p50s, p99s = append(rates, rate[0]/rate[1]), append(p50s, float64(p50[0])/float64(p50[1])), append(p99s, float64(p99[0])/float64(p99[1]))
 		}
-		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", daemon.cmd.Process.Pid))
-		_, peak, _ := strings.Cut(string(status), "VmHWM:")
-		peak, _, _ = strings.Cut(peak, "\n")
-		t.Logf("the daemon's memory at its peak: %s", strings.TrimSpace(peak))
+		t.Logf("the daemon's memory at its peak: %d KiB", memory(daemon.cmd.Process.Pid, "VmHWM"))
 		t.Logf("%d connections, of ReverseProxy's: rate %s, p50 %s, p99 %s", connections, ratios(rates), ratios(p50s), ratios(p99s))
 	}
 }
--- a/internal/body/pace.go
+++ b/internal/body/pace.go
@@ -42,9 +42,6 @@
 	return at, true
 }
 
-// Lifted says that no limit is set on the connection any more.
-func (m *Meter) Lifted() { m.set = time.Time{} }
-
 // Moved says that n bytes came or went after a wait.
 func (m *Meter) Moved(n int, waited time.Duration) {
 	if m.pace.Rate <= 0 {
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -64,8 +64,8 @@
 	return u, nil
 }
 
-// Fill reads until all that can be held is there or the body has ended, and tells whether all of the body is there. A request whose
-// beginning does not come reaches nobody.
+// Fill reads until all that can be held is there or the body has ended, and tells whether all of the body is there. A
+// request whose beginning does not come reaches nobody.
 func (u *Upload) Fill() (whole bool, err error) {
 	for u.held < Held {
 		if _, err := u.read(nil); err == io.EOF {
@@ -112,10 +112,15 @@
 func (u *Upload) Settle() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.settle()
+	return u.err
+}
+
+// settle waits until no read is under way. u.mu is held, but let go meanwhile.
+func (u *Upload) settle() {
 	for u.reading {
 		u.quiet.Wait()
 	}
-	return u.err
 }
 
 // read reads once: into what is free of the beginning's half, or else the other half. io.EOF is the body's end. A read
@@ -239,7 +244,7 @@
 	return &Flow{u: u}, !u.spent
 }
 
-// Next is the next part of the body, up to half a Window; io.EOF: there is none.
+// Next is the next part of the body, up to a Window; io.EOF: there is none.
 func (f *Flow) Next() ([]byte, error) { return f.u.read(f) }
 
 // End says that nothing more is wanted by this flow.
@@ -280,10 +285,7 @@
 	if !u.whole && u.err == nil {
 		_ = u.Deadline(time.Now().Add(linger))
 	}
-	u.quiet.Broadcast()
-	for u.reading {
-		u.quiet.Wait()
-	}
+	u.settle()
 	drain := !u.whole && u.err == nil && (u.got > 0 || !u.Expects) // a read would ask for what was never wanted
 	u.mu.Unlock()
 	if drain {
--- a/internal/body/write.go
+++ b/internal/body/write.go
@@ -39,9 +39,6 @@
 		case n == 0 || m.Wait() == 0:
 			return sent, ErrSlow
 		}
-		if err != nil {
-			m.Lifted() // it has passed
-		}
 	}
 	return sent, nil
 }
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -45,19 +45,17 @@
 	return func() { s.o.Pool.Give(size) }, nil
 }
 
-// noMemory refuses: nothing of the request has run.
+// noMemory turns away a request whose body can't be held.
 func noMemory(err error) *bad {
 	if errors.Is(err, body.ErrNever) {
 		return refusal(http.StatusRequestEntityTooLarge, "%w", err)
 	}
-	b := refusal(statusRefused, "no memory for the body was free in time")
-	b.retryAfter = time.Second
-	return b
+	return refused("no memory for the body was free in time")
 }
 
-// ending refuses, too.
-func ending() *bad {
-	b := refusal(statusRefused, "the daemon is about to end")
+// refused promises that nothing has run, and says when to return.
+func refused(why string) *bad {
+	b := refusal(statusRefused, "%s", why)
 	b.retryAfter = time.Second
 	return b
 }
@@ -112,7 +110,7 @@
 		whole, err = u.Fill()
 		switch unhurt(); {
 		case err != nil && s.flowing.Err() != nil:
-			ending().reject(w)
+			refused("the daemon is about to end").reject(w)
 			return
 		case err != nil:
 			broken(err).reject(w)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -136,29 +136,23 @@
 	select {
 	case reply := <-c.Replies:
 		s.write(w, r, q, reply)
+		return
 	case <-failed:
-		if reply, answered := leave(q); answered {
-			s.write(w, r, q, reply)
-			return
-		}
-		broken(c.Message.Upload.Err()).reject(w)
 	case <-cut:
-		reply, answered := leave(q)
-		if !answered {
-			reply = core.Reply{Verdict: core.Failed}
-		}
-		s.write(w, r, q, reply)
 	case <-r.Context().Done():
-		// A body that did not come looks like a caller that has left, too. One that has left may still read: it must not get an
-		// answer that nobody made.
-		if reply, answered := leave(q); answered {
-			s.write(w, r, q, reply)
-		} else if u := c.Message.Upload; u != nil && u.Settle() != nil {
-			broken(u.Err()).reject(w)
-		} else {
-			panic(http.ErrAbortHandler)
-		}
 	case <-pool.Done():
+	}
+	if reply, answered := leave(q); answered {
+		s.write(w, r, q, reply)
+		return
+	}
+	u, gone := c.Message.Upload, r.Context().Err() != nil
+	switch {
+	case u != nil && (u.Err() != nil || gone && u.Settle() != nil): // a body that does not come looks like a caller that has left, too
+		broken(u.Err()).reject(w)
+	case gone: // it may still read, and must not get the empty answer that net/http would make up
+		panic(http.ErrAbortHandler)
+	default:
 		s.write(w, r, q, core.Reply{Verdict: core.Failed})
 	}
 }
--- a/internal/sidecar/longend_test.go
+++ b/internal/sidecar/longend_test.go
@@ -151,21 +151,10 @@
 // A member that answers before the body's end is heard at once, and the rest of the body is nobody's.
 func TestAnEarlyAnswerGoesOnAtOnce(t *testing.T) {
 	for _, status := range []int{200, 403, 413} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		go func() {
-			for {
-				nc, err := l.Accept()
-				if err != nil {
-					return
-				}
-				nc.Read(make([]byte, 1<<10))
-				fmt.Fprintf(nc, "HTTP/1.1 %d Early\r\nContent-Length: 5\r\n\r\nearly", status)
-			}
-		}()
+		l := testpeer.Accept(t, func(nc net.Conn) {
+			nc.Read(make([]byte, 1<<10))
+			fmt.Fprintf(nc, "HTTP/1.1 %d Early\r\nContent-Length: 5\r\n\r\nearly", status)
+		})
 		s := serve(t, service(t, long+poolOf("a", l.Addr().String())+pays))
 		nc, answer := slowUpload(t, s.at("one"), 1<<30)
 		nc.Write(text(64 << 10))
--- a/internal/sidecar/matrix_test.go
+++ b/internal/sidecar/matrix_test.go
@@ -80,22 +80,10 @@
 }
 
 func (n *matrixNode) start(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = nc.(*net.TCPConn).SetReadBuffer(256 << 10) // so that most of what is not read does not go out
-			go n.serve(nc)
-		}
-	}()
-	return l.Addr().String()
+	return testpeer.Accept(t, func(nc net.Conn) {
+		_ = nc.(*net.TCPConn).SetReadBuffer(256 << 10) // so that most of what is not read does not go out
+		n.serve(nc)
+	}).Addr().String()
 }
 
 func (n *matrixNode) serve(nc net.Conn) {
@@ -566,7 +554,7 @@
 			t.Fatalf("%s does not serve", c.name)
 		}
 	}
-	before, files := settled(), descriptors()
+	before, files := settled(), use().descriptors
 	var busy sync.WaitGroup
 	var bad atomic.Int32
 	room := make(chan bool, 16)
@@ -604,7 +592,7 @@
 	})
 	// Idle connections to nodes may stay: two a pool at most, with a goroutine at the node each.
 	testpeer.Until(t, "goroutines end", func() bool { return runtime.NumGoroutine() <= before+2*len(cells) })
-	testpeer.Until(t, "descriptors are closed", func() bool { return descriptors() <= files+4*len(cells) })
+	testpeer.Until(t, "descriptors are closed", func() bool { return use().descriptors <= files+4*len(cells) })
 }
 
 func (c *cell) String() string {
@@ -641,11 +629,6 @@
 	return n
 }
 
-func descriptors() int {
-	list, _ := os.ReadDir("/proc/self/fd")
-	return len(list)
-}
-
 // The judge of the matrix must find what is wrong.
 func TestTheMatrixFindsWhatIsWrong(t *testing.T) {
 	rows := []*expectation{{of: [5]string{"up", "caller, both", "*", "close", "unsafe"}, answers: []string{"gone"}, runs: 1}}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -244,15 +246,12 @@
 	s.mu.Lock()
 	s.ending = true
 	open := s.listeners
-	for _, l := range open {
+	ending := slices.AppendSeq(slices.Collect(maps.Keys(s.leaving)), maps.Values(open))
+	for _, l := range ending {
 		l.leaving.Store(true)
 		l.callers.EndBy(time.Now().Add(answerAfterTerm))
 		defer time.AfterFunc(s.drains, l.callers.CutOff).Stop()
 	}
-	for l := range s.leaving {
-		l.callers.EndBy(time.Now().Add(answerAfterTerm))
-		defer time.AfterFunc(s.drains, l.callers.CutOff).Stop()
-	}
 	s.mu.Unlock()
 	errs := make(chan error, len(open))
 	for _, l := range open {
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -29,24 +29,34 @@
 
 // NewEndpoint starts an Endpoint that ends with the test. serve is told how many requests have come so far.
 func NewEndpoint(t testing.TB, serve func(nc net.Conn, r *http.Request, n int) bool) *Endpoint {
+	t.Helper()
+	e := &Endpoint{}
+	e.Listener = Accept(t, func(nc net.Conn) {
+		e.Connections.Add(1)
+		e.run(nc, serve)
+	})
+	e.Addr = e.Listener.Addr().String()
+	return e
+}
+
+// Accept starts a listener that ends with the test, and hands over each connection on a goroutine of its own.
+func Accept(t testing.TB, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	e := &Endpoint{Addr: l.Addr().String(), Listener: l}
 	go func() {
 		for {
 			nc, err := l.Accept()
 			if err != nil {
 				return
 			}
-			e.Connections.Add(1)
-			go e.run(nc, serve)
+			go serve(nc)
 		}
 	}()
-	return e
+	return l
 }
 
 func (e *Endpoint) run(nc net.Conn, serve func(net.Conn, *http.Request, int) bool) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -348,7 +348,7 @@
 	reused = !c.idleAt.IsZero()
 	x := &exchange{u: u, c: c, m: m, watch: w, stop: context.AfterFunc(ctx, func() { c.Close() })}
 	r, a, reusable := x.run(ctx, text)
-	if x.stop() && reusable || x.bound.Load() && reusable {
+	if reusable && (x.bound.Load() || x.stop()) {
 		u.giveBack(c)
 	} else {
 		u.discard(c)
