Operators' address, figures and endpoints taken out by hand

Figures are counted where a thing happens (front.Server.ask, the last byte written in upstream), bars are the module's (balance: Bar, Knows, Census), kept by id past lists and reloads, and carried out by upstream too, so that a connection that comes up after the call is not written on.

--- a/balance/api.go
+++ b/balance/api.go
@@ -34,6 +34,16 @@
 	Timer(now time.Duration)
 	// Probed reports the result of a Host.Probe.
 	Probed(now time.Duration, p ProbeResult)
+	// Bar reports that operators take an endpoint out, or give it back. What is out gets nothing new, whatever lists
+	// say, until it is given back: then it is new, and cold, for it was restarted meanwhile. The id need not be listed;
+	// the host bounds how many are out.
+	Bar(now time.Duration, id string, out bool)
+
+	// Knows tells whether an endpoint is listed or out. It reports nothing.
+	Knows(id string) bool
+	// Census tells how many endpoints are listed, and how many of them are avoided now: out by hand, or dropped. It
+	// reports nothing.
+	Census() (listed, avoided int)
 }
 
 // Host carries out a Balancer's decisions.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -77,14 +77,48 @@
 	for _, e := range b.merge(l) {
 		b.renew(now, e, first)
 	}
+	if first {
+		b.room, was = roomStart*b.share(), 0
+	}
+	b.changed(now, was)
+}
+
+// changed follows a change of who may be used, before which there were so many.
+func (b *Balancer) changed(now time.Duration, was int) {
 	b.fill()
-	switch {
-	case first:
-		b.room = roomStart * b.share()
-	case was > 0 && b.ready > 0: // few that are left must not get the calls of many
+	if was > 0 && b.ready > 0 { // few that are left must not get the calls of many
 		b.room *= float64(b.ready) / float64(was)
 	}
 	b.release(now)
+	if b.shut() { // nobody else can free them in time: operators alone decide when
+		for _, q := range slices.Clone(b.waiting) {
+			b.end(now, q)
+		}
+		b.waiting = b.waiting[:0]
+	}
+}
+
+// Bar takes an endpoint out by hand, or back. What it holds goes on to its end.
+func (b *Balancer) Bar(now time.Duration, id string, out bool) {
+	if b.barred[id] == out {
+		return
+	}
+	if out {
+		b.barred[id] = true
+	} else {
+		delete(b.barred, id)
+	}
+	e, was := b.byName[id], b.ready
+	if e == nil {
+		return
+	}
+	if e.barred = out; !out {
+		e.returns++
+		e.back, e.Started, e.trial, e.errors, e.held, e.heldAt = now, now, false, 0, 0, 0
+		b.renew(now, e, false)
+	}
+	b.countReady()
+	b.changed(now, was)
 }
 
 // count follows the rate of requests and, with it, how many endpoints the table is to have.
@@ -103,7 +137,7 @@
 // many callers, all callers the same mix of kinds.
 func (b *Balancer) fill() {
 	b.recent, b.sampled, b.leastFor = b.recent[:0], b.sampled[:0], 0
-	b.table = slices.DeleteFunc(slices.Clone(b.endpoints), func(e *endpoint) bool { return e.State != Ready })
+	b.table = slices.DeleteFunc(slices.Clone(b.endpoints), func(e *endpoint) bool { return !e.usable() })
 	n, callers := float64(len(b.table)), float64(max(b.s.Balancers, 1))
 	size := math.Floor(max(b.size, tableLeast, tableShare*n/callers))
 	if 2*size >= n {
@@ -125,7 +159,7 @@
 	e.active = first && b.warmth(now, e) == 1
 	e.backoff = b.firstBackoff(now)
 	e.trialAt = now + seconds(b.rng.Float64()*b.turnGap(now).Seconds())
-	e.sum, e.samples, e.deficit = 0, 0, b.rng.Float64()
+	e.sum, e.samples, e.deficit, e.dropped = 0, 0, b.rng.Float64(), false
 }
 
 // coldGap is the time between two sends to a cold endpoint, trials included, little more than a warm share of
@@ -184,7 +218,7 @@
 	b.budget = min(b.budget+resendShare, resendMost)
 	over := b.overShare(now, q)
 	pressed := len(b.waiting) > 0 || float64(b.out) > overRoom*b.room || b.rate(now) > allShares*b.quota
-	if now >= q.giveUp || pressed && over || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
+	if now >= q.giveUp || b.shut() || pressed && over || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
 		b.end(now, q)
 		return
 	}
@@ -274,7 +308,7 @@
 
 // allowed tells whether an endpoint may get this request: ready, within a cold one's share, no second effect.
 func (b *Balancer) allowed(now time.Duration, q *request, e *endpoint) bool {
-	return e.State == Ready &&
+	return e.usable() &&
 		(now >= e.coldAt || b.warmth(now, e) == 1) && b.mayResend(now, q, e)
 }
 
@@ -448,7 +482,8 @@
 		}
 	}
 	b.used(e)
-	a := attempt{e: e, sent: now, waits: now, out: true, trial: !e.active, flows: q.Flow > 0}
+	a := attempt{e: e, returns: e.returns, sent: now, waits: now, out: true, flows: q.Flow > 0}
+	a.trial = !e.active
 	a.overdueAt = b.overdueFrom(now, q, e)
 	e.trial = a.trial
 	b.tally(&a, 1)
@@ -494,7 +529,7 @@
 		b.close(q)
 	case q.held:
 	case b.mayTry(now, q) && slices.ContainsFunc(b.endpoints, func(e *endpoint) bool {
-		return e.State == Ready && b.mayResend(now, q, e)
+		return e.usable() && b.mayResend(now, q, e)
 	}):
 		if o.Result != ConnectFailed { // costs the endpoints nothing
 			b.budget--
@@ -539,6 +574,9 @@
 // judge turns an outcome into a sample.
 func (b *Balancer) judge(now time.Duration, q *request, a *attempt, r Result, took time.Duration) {
 	e, stretch, failed := a.e, min(took.Seconds()/b.expected(q), penaltyMost), r != OK
+	if a.returns != e.returns { // the one that it tells of is no more
+		return
+	}
 	b.errors -= b.errors * meanGain
 	e.errors -= e.errors * meanGain
 	switch r {
@@ -587,13 +625,14 @@
 }
 
 func (b *Balancer) drop(now time.Duration, e *endpoint) {
-	e.active, e.backoff = false, b.firstBackoff(now)
+	e.active, e.dropped, e.backoff = false, true, b.firstBackoff(now)
 	b.backOff(now, e, false)
 }
 
 // backOff sets the next trial, after twice the wait if the last one failed.
 func (b *Balancer) backOff(now time.Duration, e *endpoint, failed bool) {
 	if failed {
+		e.dropped = true
 		e.backoff = min(2*e.backoff, backoffMost*b.firstBackoff(now))
 	}
 	e.trialAt = now + b.jitter(e.backoff)
@@ -610,7 +649,7 @@
 	for _, o := range b.table {
 		o.deficit -= least
 	}
-	e.active, e.deficit = true, e.w()
+	e.active, e.dropped, e.deficit = true, false, e.w()
 }
 
 // tick looks after what time alone changes.
@@ -653,6 +692,9 @@
 		}
 		return
 	}
+	if a.returns != e.returns {
+		return
+	}
 	if e.active {
 		b.sample(now, e, min((now-a.waits).Seconds()/b.expected(q), penaltyMost))
 		if e.active && silent {
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,6 +19,10 @@
 	sampledAt    time.Duration // latest sample
 	answeredAt   time.Duration // latest answer
 	backoff      time.Duration // wait between trials
+	barred       bool          // out by hand
+	back         time.Duration // instant at which it was given back; 0: it was not out
+	returns      int           // how often that happened
+	dropped      bool          // not active by what it showed: it was dropped, or failed a trial
 	trialAt      time.Duration // next trial, while not active
 	trial        bool          // the single trial is out
 	inFlight     int           // attempts out that wait for it
@@ -56,6 +60,7 @@
 // attempt is one Send.
 type attempt struct {
 	e               *endpoint
+	returns         int // the endpoint's, when it was sent: what was sent before tells nothing of it
 	sent, overdueAt time.Duration
 	waits           time.Duration // for the endpoint, since then
 	out             bool          // no outcome yet
@@ -118,6 +123,7 @@
 	quota     float64 // of all tenants, for this caller alone
 	size      float64 // wanted size of the table
 	logged    map[string]time.Duration
+	barred    map[string]bool // ids that are out by hand, listed or not
 }
 
 var _ Events = (*Balancer)(nil)
@@ -126,7 +132,7 @@
 func New(now time.Duration, s Settings, h Host) *Balancer {
 	b := &Balancer{s: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, 1)), started: now, callsAt: now, budget: resendMost / 2, stretch: 1,
 		classes: map[string]*class{}, tenants: map[string]*tenant{}, kinds: map[string]*kind{},
-		byName: map[string]*endpoint{}, requests: map[string]*request{}, logged: map[string]time.Duration{}}
+		byName: map[string]*endpoint{}, requests: map[string]*request{}, logged: map[string]time.Duration{}, barred: map[string]bool{}}
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c}
 		b.aim += c.Aim.Seconds() / float64(len(s.Classes))
@@ -183,9 +189,10 @@
 	for _, in := range l.Entries {
 		e := b.byName[in.ID]
 		if e == nil {
-			e = &endpoint{}
+			e = &endpoint{barred: b.barred[in.ID]}
 			b.byName[in.ID], b.endpoints = e, append(b.endpoints, e)
 		}
+		in.Started = max(in.Started, e.back) // of a restart by hand the list may hear late
 		if e.kind == nil || in.Started > e.Started {
 			started = append(started, e)
 		}
@@ -201,20 +208,46 @@
 		}
 		return e.State == Gone
 	})
+	b.countReady()
+	return started
+}
+
+// countReady counts the endpoints that may be used.
+func (b *Balancer) countReady() {
 	b.ready = 0
 	for _, e := range b.endpoints {
-		if e.State == Ready {
+		if e.usable() {
 			b.ready++
 		}
 	}
-	return started
+}
+
+// usable tells whether anything new may go to an endpoint at all.
+func (e *endpoint) usable() bool { return e.State == Ready && !e.barred }
+
+// shut tells whether all endpoints that could be used are out by hand.
+func (b *Balancer) shut() bool {
+	return b.ready == 0 && len(b.barred) > 0 && slices.ContainsFunc(b.endpoints, func(e *endpoint) bool { return e.State == Ready })
+}
+
+// Knows implements Events.
+func (b *Balancer) Knows(id string) bool { return b.barred[id] || b.byName[id] != nil }
+
+// Census implements Events.
+func (b *Balancer) Census() (listed, avoided int) {
+	for _, e := range b.endpoints {
+		if e.barred || e.dropped && !e.active {
+			avoided++
+		}
+	}
+	return len(b.endpoints), avoided
 }
 
 // actives counts the active endpoints and gives their smallest weight, 1 if there are none, and their lowest
 // deficit.
 func (b *Balancer) actives() (n int, w, deficit float64) {
 	for _, e := range b.table {
-		if !e.active || e.State != Ready {
+		if !e.active || !e.usable() {
 			continue
 		}
 		if n == 0 || e.w() < w {
--- /dev/null
+++ b/internal/admin/call.go
@@ -0,0 +1,64 @@
+// Package admin is the operators' address: one call on a line, one answer, close. It asks the parts below and decides
+// nothing.
+package admin
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"unicode/utf8"
+)
+
+// Word is what is called for.
+type Word string
+
+// The words.
+const (
+	Check   Word = "check"    // does this process take clients?
+	Vars    Word = "vars"     // the figures
+	SetDown Word = "set-down" // nothing more to an endpoint
+	SetUp   Word = "set-up"   // use it again
+)
+
+// takesID tells of each word whether an endpoint's id follows.
+var takesID = map[Word]bool{Check: false, Vars: false, SetDown: true, SetUp: true}
+
+// maxLine is how many bytes a line may have, its end included. Ids of endpoints are some tens long.
+const maxLine = 512
+
+var errTooLong = fmt.Errorf("the line is longer than %d bytes", maxLine)
+
+// Call is a line that was understood.
+type Call struct {
+	Word Word
+	ID   string // of an endpoint, where the word takes one
+}
+
+// Parse reads a line without its end. Words are parted by spaces or tabs. An error says what is wrong, in text that is
+// fit to be shown.
+func Parse(line []byte) (Call, error) {
+	if len(line) >= maxLine {
+		return Call{}, errTooLong
+	}
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if !utf8.Valid(line) || bytes.ContainsFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+		return Call{}, errors.New("the line is no text")
+	}
+	words := bytes.Fields(line)
+	if len(words) == 0 {
+		return Call{}, errors.New("the line is empty")
+	}
+	c := Call{Word: Word(words[0])}
+	wantsID, known := takesID[c.Word]
+	switch {
+	case !known:
+		return Call{}, fmt.Errorf("%.40q is none of check, vars, set-down ID, set-up ID", words[0])
+	case wantsID && len(words) == 1:
+		return Call{}, fmt.Errorf("%s wants the id of an endpoint", c.Word)
+	case wantsID && len(words) > 2, !wantsID && len(words) > 1:
+		return Call{}, fmt.Errorf("%s: there is more on the line than it takes", c.Word)
+	case wantsID:
+		c.ID = string(words[1])
+	}
+	return c, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // where operators call; empty: nowhere
 	Limits    Limits
 	Known     discovery.Members
 	Settings  wire.Settings
@@ -55,6 +56,7 @@
 func Parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
+		Admin                         string `json:"admin_addr"`
 		Limits                        Limits
 		Known, Settings               json.RawMessage
 	}
@@ -68,13 +70,18 @@
 		return value
 	}
 	c := Config{Name: fill(file.Name, "ROUTER_NAME"), Listen: fill(file.Listen, "ROUTER_LISTEN"),
-		Discovery: fill(file.Discovery, "ROUTER_DISCOVERY"), Limits: file.Limits}
+		Discovery: fill(file.Discovery, "ROUTER_DISCOVERY"), Admin: fill(file.Admin, "ROUTER_ADMIN_ADDR"), Limits: file.Limits}
 	if err := discovery.CheckAddress("listen", c.Listen); err != nil {
 		return c, err
 	}
 	if err := discovery.CheckAddress("discovery", c.Discovery); err != nil {
 		return c, err
 	}
+	if c.Admin != "" {
+		if err := discovery.CheckAddress("admin_addr", c.Admin); err != nil {
+			return c, err
+		}
+	}
 	if err := c.Limits.check(); err != nil {
 		return c, err
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -36,6 +36,8 @@
 	Cores    float64 `toml:"cores"`   // 0: as many as the system gives
 	MemoryMB int     `toml:"memory_mb"`
 
+	AdminAddr string `toml:"admin_addr"` // where operators call; empty: nowhere
+
 	BodyMemoryMB int           `toml:"body_memory_mb"` // for bodies of requests, and for all that flow
 	DrainTimeout time.Duration `toml:"drain_timeout"`  // after SIGTERM, until bodies that still flow are cut off
 }
@@ -345,6 +347,7 @@
 		tomlfile.Need("cores", d.Cores >= 0, "0 or more"),
 		tomlfile.Need("body_memory_mb", d.BodyMemoryMB >= 1 && d.BodyMemoryMB <= mostBodyMemoryMB, fmt.Sprintf("from 1 to %d", mostBodyMemoryMB)),
 		tomlfile.Need("drain_timeout", d.DrainTimeout >= 0 && d.DrainTimeout <= mostDeadline, "from 0s to 1h"),
+		tomlfile.Need("admin_addr", d.AdminAddr == "" || isAddress(d.AdminAddr), "host:port"),
 		tomlfile.Need("memory_mb", d.MemoryMB == 0 || d.MemoryMB >= leastMemoryMB, fmt.Sprintf("0 (no limit) or %d at least", leastMemoryMB)),
 	}); err != nil {
 		return err
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -17,6 +17,8 @@
 // It never changes; a reload brings another.
 type Service struct {
 	Name      string
+	Admin     string // where operators call; empty: nowhere
+	Operators int    // their connections at most
 	Limits    Limits // zero values: left to the system
 	Listeners []Listener
 	Pools     []PoolSpec
@@ -54,7 +56,7 @@
 
 // Descriptors is how many files and connections the daemon may have open at most.
 func (s *Service) Descriptors() int {
-	sum := otherDescriptors
+	sum := otherDescriptors + s.Operators
 	for _, l := range s.Listeners {
 		sum += l.Connections + SpareCallers
 	}
@@ -103,13 +105,20 @@
 const (
 	otherDescriptors = 24
 	leastConnections = 8
+	operatorsPart    = 16 // one of so many is kept for operators,
+	leastOperators   = 8  // and so many at least
+	fileOperators    = 32 // where no limit on descriptors is told
 )
 
 // Service is the platform's configuration in the daemon's own terms.
 func (c Config) Service() (Service, error) {
 	settings := c.Settings.Settings
 	settings.MayProbe = false // probing endpoints is ruled out
-	each := max((c.Limits.Sockets-otherDescriptors-SpareCallers)/2, leastConnections)
+	operators := 0
+	if c.Admin != "" {
+		operators = max(c.Limits.Sockets/operatorsPart, leastOperators)
+	}
+	each := max((c.Limits.Sockets-otherDescriptors-SpareCallers-operators)/2, leastConnections)
 	rules, targets := rawRules(settings.Classes)
 	table, err := route.New(rules)
 	if err != nil {
@@ -119,7 +128,7 @@
 	l.Name, l.Address, l.Connections, l.Forwarded, l.RetryAfter, l.Raw = platformPool, c.Listen, each, "leave", "fraction", true
 	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, LastByte: true, OnlyOK: true,
 		Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
-	return Service{Name: c.Name, Limits: c.Limits, Listeners: []Listener{l}, Pools: []PoolSpec{pool}, Table: table, Targets: targets}, nil
+	return Service{Name: c.Name, Admin: c.Admin, Operators: operators, Limits: c.Limits, Listeners: []Listener{l}, Pools: []PoolSpec{pool}, Table: table, Targets: targets}, nil
 }
 
 // Moved is the configuration with what a running sidecar may take from a later one on the platform: where discovery
@@ -131,7 +140,7 @@
 
 // Service is the file in the daemon's own terms.
 func (f *File) Service() Service {
-	s := Service{BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
+	s := Service{Admin: f.Daemon.AdminAddr, Operators: f.operators(), BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
 	classes := map[string]*Class{}
 	for i := range f.Class {
 		classes[f.Class[i].Name] = &f.Class[i]
@@ -150,6 +159,14 @@
 	return s
 }
 
+// operators is how many connections of theirs a file leaves room for.
+func (f *File) operators() int {
+	if f.Daemon.AdminAddr == "" {
+		return 0
+	}
+	return fileOperators
+}
+
 // resolution is how late events and timers may come on an ordinary machine: a timer's own lateness on a busy one.
 const resolution = 5 * time.Millisecond
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -70,6 +71,7 @@
 	clock    clock
 	balancer balance.Events
 	events   chan func(now time.Duration)
+	urgent   chan func(now time.Duration) // what must not wait behind a queue of events
 	done     chan struct{}
 	upstream *upstream.Client
 	ask      func() // asks discovery for a watch
@@ -91,7 +93,7 @@
 
 // New makes a Loop. ask asks discovery for a watch and must not block.
 func New(decide Decider, s balance.Settings, u *upstream.Client, ask func(), log *slog.Logger) *Loop {
-	l := &Loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
+	l := &Loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), urgent: make(chan func(time.Duration)), done: make(chan struct{}),
 		upstream: u, ask: ask, log: log, calls: map[string]*Call{}, members: map[string]bool{}}
 	l.balancer = decide(l.clock.now(), s, host{l})
 	return l
@@ -124,6 +126,42 @@
 	}
 }
 
+// Do hands an event to the loop past those that wait, and returns when it was handled: nil; or when ctx has ended or the
+// loop has: then it may still be handled. It must not be called from within the loop.
+func (l *Loop) Do(ctx context.Context, event func(now time.Duration)) error {
+	handled := make(chan struct{})
+	select {
+	case l.urgent <- func(now time.Duration) { event(now); close(handled) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return ErrEnded
+	}
+	select {
+	case <-handled:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return ErrEnded
+	}
+}
+
+// Bar takes an endpoint out by hand, or gives it back. It is called from an event.
+func (l *Loop) Bar(now time.Duration, id string, out bool) {
+	l.upstream.Bar(id, out) // first: the module may send at once
+	l.balancer.Bar(now, id, out)
+}
+
+// Knows tells whether an endpoint is listed, or out by hand. It is called from an event.
+func (l *Loop) Knows(id string) bool { return l.balancer.Knows(id) }
+
+// Census tells how many endpoints are listed, and how many of them are avoided. It is called from an event.
+func (l *Loop) Census() (listed, avoided int) { return l.balancer.Census() }
+
+// ErrEnded is why an event was not handled: the loop has ended.
+var ErrEnded = errors.New("the pool has ended")
+
 // Run handles events until ctx ends. Attempts that are still out then are called off.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
@@ -143,6 +181,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case event := <-l.urgent:
+			l.handle(event)
 		case event := <-l.events:
 			l.handle(event)
 		case <-alarm.C:
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -80,12 +80,12 @@
 	defer service.inUse.Done()
 	q, bad := s.read(service, r, true)
 	if bad != nil {
-		bad.reject(w)
+		s.reject(w, bad)
 		return
 	}
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
-		refusal(http.StatusBadRequest, "%w", err).reject(w)
+		s.reject(w, refusal(http.StatusBadRequest, "%w", err))
 		return
 	}
 	wait, cancel := context.WithDeadline(r.Context(), s.inTime(arrived.Add(q.left-wayBack)))
@@ -94,7 +94,7 @@
 		Trailer: func() http.Header { return r.Trailer }, Expects: expects(r), Pace: s.o.Pace})
 	cancel()
 	if err != nil {
-		noMemory(err).reject(w)
+		q.turnAway(w, noMemory(err))
 		return
 	}
 	w.upload = u
@@ -110,10 +110,10 @@
 		whole, err = u.Fill()
 		switch unhurt(); {
 		case err != nil && s.flowing.Err() != nil:
-			refused("the daemon is about to end").reject(w)
+			q.turnAway(w, refused("the daemon is about to end"))
 			return
 		case err != nil:
-			broken(err).reject(w)
+			s.reject(w, broken(err))
 			return
 		}
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 
 	"tuliprock/internal/body"
 	"tuliprock/internal/core"
+	"tuliprock/internal/metrics"
 )
 
 // What callers are answered where an endpoint has not. Only a refusal is 503, and nothing is 429: both promise that
@@ -43,7 +44,8 @@
 	Fractions                                           bool       // Retry-After has them; else whole seconds (RFC 9110, 10.2.3)
 	Pool                                                *body.Pool // memory for bodies; nil: bodies have lengths, and are held whole
 	Pace                                                body.Pace  // of callers, where bodies flow
-	Raw                                                 bool       // targets are matched and go on as they came, and answers' headers don't
+	Figures                                             *metrics.Figures
+	Raw                                                 bool // targets are matched and go on as they came, and answers' headers don't
 }
 
 // Server takes callers' requests, hands them to the loop of their pool and writes their answers.
@@ -90,7 +92,7 @@
 	out := &closing{ResponseWriter: w, ending: &s.ending}
 	// The framing comes first: nothing may be read as a request that stands in another's body.
 	if bad := s.checkFraming(r); bad != nil {
-		bad.reject(out)
+		s.reject(out, bad)
 		return
 	}
 	if s.isLong(r) {
@@ -99,13 +101,13 @@
 	}
 	giveBack, bad := s.reserve(r)
 	if bad != nil {
-		bad.reject(out)
+		s.turnAway(out, r, bad)
 		return
 	}
 	defer giveBack()
 	text, bad := s.readBody(out, r)
 	if bad != nil {
-		bad.reject(out)
+		s.reject(out, bad)
 		return
 	}
 	if r.URL.Path == healthPath {
@@ -117,7 +119,7 @@
 	defer service.inUse.Done()
 	q, bad := s.read(service, r, len(text) > 0)
 	if bad != nil {
-		bad.reject(out)
+		s.reject(out, bad)
 		return
 	}
 	q.call.Message.Body = text
@@ -125,8 +127,40 @@
 	s.ask(out, r, q)
 }
 
-// ask hands a request to its pool's loop and writes the final answer, unless the caller has left.
+// reject turns away what is no request, and counts it.
+func (s *Server) reject(w http.ResponseWriter, b *bad) {
+	s.o.Figures.Bad.Add(1)
+	b.reject(w)
+}
+
+// turnAway refuses a request whose body was not read for lack of memory, and counts it as its class's where it is one.
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, b *bad) {
+	service := s.current.take()
+	defer service.inUse.Done()
+	q, bad := s.read(service, r, true)
+	if bad != nil {
+		s.reject(w, bad)
+		return
+	}
+	q.turnAway(w, b)
+}
+
+// turnAway is Server's for a request that was read.
+func (q *asked) turnAway(w http.ResponseWriter, b *bad) {
+	how := metrics.Failed
+	if b.status == statusRefused {
+		how = metrics.Shed
+	}
+	q.target.Class.Figures.Count(how)
+	b.reject(w)
+}
+
+// ask hands a request to its pool's loop and writes the final answer, unless the caller has left. Here, and nowhere else,
+// a request begins and ends for the figures.
 func (s *Server) ask(w *closing, r *http.Request, q *asked) {
+	how := metrics.Failed // unless its answer was written
+	q.target.Class.Figures.Begin()
+	defer func() { q.target.Class.Figures.End(how) }()
 	pool, c := q.target.Pool, q.call
 	pool.Post(func(now time.Duration) { pool.Start(now, c) })
 	var failed, cut <-chan struct{}
@@ -135,7 +169,7 @@
 	}
 	select {
 	case reply := <-c.Replies:
-		s.write(w, r, q, reply)
+		how = s.write(w, r, q, reply)
 		return
 	case <-failed:
 	case <-cut:
@@ -143,7 +177,7 @@
 	case <-pool.Done():
 	}
 	if reply, answered := leave(q); answered {
-		s.write(w, r, q, reply)
+		how = s.write(w, r, q, reply)
 		return
 	}
 	u, gone := c.Message.Upload, r.Context().Err() != nil
@@ -194,11 +228,13 @@
 // Unwrap lets http.ResponseController find the writer beneath.
 func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// write sends the final answer.
-func (s *Server) write(w *closing, r *http.Request, q *asked, reply core.Reply) {
+var endOf = map[core.Verdict]metrics.End{core.Served: metrics.OK, core.Refused: metrics.Shed, core.Failed: metrics.Failed, core.Duplicate: metrics.Failed}
+
+// write sends the final answer, and tells how the request ended.
+func (s *Server) write(w *closing, r *http.Request, q *asked, reply core.Reply) metrics.End {
 	if reply.Answer.Stream != nil {
-		s.pass(w, r, q, reply.Answer)
-		return
+		s.pass(w, r, q, reply.Answer) // it panics where that breaks
+		return metrics.OK
 	}
 	// Bounded, so that a caller that does not read can't hold a connection for good. An error means that it left.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.o.WriteTimeout))
@@ -226,6 +262,7 @@
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
+	return endOf[reply.Verdict]
 }
 
 // advice is when to return, never earlier than the module says.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -6,6 +6,7 @@
 
 	"tuliprock/balance"
 	"tuliprock/internal/core"
+	"tuliprock/internal/metrics"
 	"tuliprock/internal/route"
 )
 
@@ -20,6 +21,8 @@
 	Methods                                           []string // that are served; none: all
 	NoBody                                            bool     // requests bring none
 
+	Figures *metrics.Class
+
 	FlowMost    time.Duration // that a body may flow, each way
 	DeadlineAll bool          // the deadline rules bodies that flow, too
 }
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -33,7 +33,7 @@
 	}
 	return func(_ time.Duration, s balance.Settings, h balance.Host) balance.Events {
 		b := &balancer{host: h, s: s, pick: p, rng: rand.New(rand.NewPCG(s.Seed, 0x706c61696e)), effects: map[string]balance.Effect{},
-			states: map[string]balance.State{}, out: map[string]int{}, requests: map[string]*request{}}
+			states: map[string]balance.State{}, barred: map[string]bool{}, out: map[string]int{}, requests: map[string]*request{}}
 		for _, c := range s.Classes {
 			b.effects[c.Name] = c.Effect
 		}
@@ -48,6 +48,7 @@
 	rng      *rand.Rand
 	effects  map[string]balance.Effect
 	states   map[string]balance.State
+	barred   map[string]bool
 	ready    []string // sorted
 	out      map[string]int
 	turn     int
@@ -91,9 +92,14 @@
 			delete(b.states, e.ID)
 		}
 	}
+	b.choose()
+}
+
+// choose lists who may be called.
+func (b *balancer) choose() {
 	b.ready = b.ready[:0]
 	for id, s := range b.states {
-		if s == balance.Ready {
+		if s == balance.Ready && !b.barred[id] {
 			b.ready = append(b.ready, id)
 		}
 	}
@@ -173,6 +179,30 @@
 // BodySent implements balance.Events.
 func (b *balancer) BodySent(time.Duration, string, int, time.Duration) {}
 
+// Bar implements balance.Events.
+func (b *balancer) Bar(_ time.Duration, id string, out bool) {
+	if delete(b.barred, id); out {
+		b.barred[id] = true
+	}
+	b.choose()
+}
+
+// Knows implements balance.Events.
+func (b *balancer) Knows(id string) bool {
+	_, listed := b.states[id]
+	return listed || b.barred[id]
+}
+
+// Census implements balance.Events.
+func (b *balancer) Census() (listed, avoided int) {
+	for id := range b.states {
+		if b.barred[id] {
+			avoided++
+		}
+	}
+	return len(b.states), avoided
+}
+
 // Timer implements balance.Events.
 func (b *balancer) Timer(time.Duration) {}
 
--- a/internal/rehearse/bad_test.go
+++ b/internal/rehearse/bad_test.go
@@ -119,12 +119,13 @@
 
 // bad sends each request somewhere and then breaks a rule.
 type bad struct {
-	kind  string
-	host  balance.Host
-	ready map[string]balance.Endpoint
-	names []string
-	open  map[string]*badRequest
-	next  int
+	balance.Events // what it does not look at: nil
+	kind           string
+	host           balance.Host
+	ready          map[string]balance.Endpoint
+	names          []string
+	open           map[string]*badRequest
+	next           int
 }
 
 type badRequest struct {
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -11,6 +11,7 @@
 	"tuliprock/internal/body"
 	"tuliprock/internal/config"
 	"tuliprock/internal/front"
+	"tuliprock/internal/metrics"
 )
 
 // listener is an address that callers connect to, and the server behind it.
@@ -34,14 +35,14 @@
 }
 
 // newListener puts a server behind a socket; accept starts it.
-func newListener(spec config.Listener, via string, socket *hold, current *front.Current, bodies *body.Pool, log *slog.Logger) *listener {
+func newListener(spec config.Listener, via string, socket *hold, current *front.Current, bodies *body.Pool, figures *metrics.Figures, log *slog.Logger) *listener {
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	limited := front.Limit(socket, spec.Connections+config.SpareCallers)
 	l := &listener{spec: spec, via: via, socket: socket, served: make(chan struct{}),
 		conns: front.NewListener(limited, spec.Connections, spec.HeadTimeout)}
 	l.callers = front.New(front.Options{Head: spec.HeadBytes, Body: spec.BodyBytes, HeadTimeout: spec.HeadTimeout, BodyTimeout: spec.BodyTimeout,
 		IdleTimeout: spec.IdleTimeout, WriteTimeout: spec.WriteTimeout, Forwarded: front.Forwarded(spec.Forwarded), Pseudonym: via, Fractions: spec.RetryAfter == "fraction", Raw: spec.Raw,
-		Pool: bodies, Pace: body.Pace{Idle: spec.FlowIdle, Rate: spec.FlowRate}},
+		Pool: bodies, Figures: figures, Pace: body.Pace{Idle: spec.FlowIdle, Rate: spec.FlowRate}},
 		current, log)
 	l.server = l.callers.HTTP(l.conns.Track)
 	return l
--- /dev/null
+++ b/internal/sidecar/operators.go
@@ -0,0 +1,179 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"tuliprock/internal/admin"
+	"tuliprock/internal/config"
+	"tuliprock/internal/core"
+	"tuliprock/internal/metrics"
+)
+
+const (
+	mostBarred = 1024                   // ids that may be out by hand: far more than a list has, and some 100 kB
+	censusTime = 200 * time.Millisecond // a pool is given to tell its members; then what it told last stands
+)
+
+// hands is what operators have taken out by hand, for all pools that run. It outlives pools, lists and reloads.
+type hands struct {
+	turn chan struct{} // held by the call that is carried out
+
+	mu     sync.Mutex
+	barred map[string]bool
+	pools  map[*pool]bool
+}
+
+func newHands() *hands {
+	return &hands{turn: make(chan struct{}, 1), barred: map[string]bool{}, pools: map[*pool]bool{}}
+}
+
+// join makes a pool, which has served nobody yet, keep what is out.
+func (h *hands) join(p *pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pools[p] = true
+	out := slices.Collect(maps.Keys(h.barred))
+	p.loop.Post(func(now time.Duration) {
+		for _, id := range out {
+			p.loop.Bar(now, id, true)
+		}
+	})
+}
+
+func (h *hands) leave(p *pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.pools, p)
+}
+
+// running gives the pools that run, and whether an id is out.
+func (h *hands) running(id string) (pools []*pool, barred bool, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for p := range h.pools {
+		pools = append(pools, p)
+	}
+	return pools, h.barred[id], len(h.barred)
+}
+
+func (h *hands) note(id string, out bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if delete(h.barred, id); out {
+		h.barred[id] = true
+	}
+}
+
+// each has all pools handle an event, one after another.
+func each(ctx context.Context, pools []*pool, event func(l *core.Loop, now time.Duration)) error {
+	for _, p := range pools {
+		err := p.loop.Do(ctx, func(now time.Duration) { event(p.loop, now) })
+		if err != nil && !errors.Is(err, core.ErrEnded) {
+			return err
+		}
+	}
+	return nil
+}
+
+// errUnconfirmed is a call that may yet be carried out.
+var errUnconfirmed = errors.New("not confirmed in time; call again")
+
+// bar takes an endpoint out, or back, and returns once all modules have it.
+func (h *hands) bar(ctx context.Context, id string, out bool) (string, error) {
+	select {
+	case h.turn <- struct{}{}:
+		defer func() { <-h.turn }()
+	case <-ctx.Done():
+		return "", errUnconfirmed
+	}
+	pools, was, n := h.running(id)
+	known := was
+	err := each(ctx, pools, func(l *core.Loop, _ time.Duration) { known = known || l.Knows(id) })
+	switch {
+	case err != nil:
+		return "", errUnconfirmed
+	case !known:
+		return "", fmt.Errorf("%.260q: no endpoint of this id is listed", id)
+	case out && !was && n >= mostBarred:
+		return "", fmt.Errorf("%d endpoints are out already: no more can be", n)
+	}
+	h.note(id, out) // before the pools: one that joins meanwhile must have it
+	if err := each(ctx, pools, func(l *core.Loop, now time.Duration) { l.Bar(now, id, out) }); err != nil {
+		return "", errUnconfirmed
+	}
+	return barred(id, was, out), nil
+}
+
+func barred(id string, was, is bool) string {
+	switch {
+	case was && is:
+		return id + " was out already"
+	case is:
+		return id + " is out"
+	case was:
+		return id + " is back"
+	}
+	return id + " was not out"
+}
+
+// census asks the pools for their members, all at once.
+func (h *hands) census(ctx context.Context) (listed, avoided int64) {
+	ctx, cancel := context.WithTimeout(ctx, censusTime)
+	defer cancel()
+	pools, _, _ := h.running("")
+	var asked sync.WaitGroup
+	for _, p := range pools {
+		asked.Go(func() {
+			_ = p.loop.Do(ctx, func(time.Duration) {
+				l, a := p.loop.Census()
+				p.listed.Store(int64(l))
+				p.avoided.Store(int64(a))
+			})
+		})
+	}
+	asked.Wait()
+	for _, p := range pools {
+		listed, avoided = listed+p.listed.Load(), avoided+p.avoided.Load()
+	}
+	return listed, avoided
+}
+
+// vars writes the figures.
+func (s *Sidecar) vars(ctx context.Context, w io.Writer) error {
+	listed, avoided := s.hands.census(ctx)
+	return s.figures.Write(w, metrics.Gauge{Name: "pool_size", Value: listed}, metrics.Gauge{Name: "pool_ejected", Value: avoided})
+}
+
+// openAdmin opens the operators' address of a configuration, if it is not the one that is open. s.mu is held.
+func (s *Sidecar) openAdmin(c config.Service) (*admin.Server, error) {
+	if c.Admin == "" || s.admin != nil && s.adminAddr == c.Admin {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", c.Admin)
+	if err != nil {
+		return nil, fmt.Errorf("admin_addr: %w", err)
+	}
+	a := admin.New(l, c.Operators, admin.Daemon{Ready: s.ready.Load, Vars: s.vars, Bar: s.hands.bar}, s.log)
+	go a.Serve()
+	return a, nil
+}
+
+// adoptAdmin puts an operators' address in the present one's place. s.mu is held.
+func (s *Sidecar) adoptAdmin(c config.Service, opened *admin.Server) {
+	if s.admin != nil && s.adminAddr != c.Admin {
+		go s.admin.Close()
+		s.admin = nil
+	}
+	if opened != nil {
+		s.admin, s.adminAddr = opened, c.Admin
+		s.log.Info("operators' address", "addr", opened.Addr().String())
+	}
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tuliprock/internal/body"
@@ -14,6 +15,7 @@
 	"tuliprock/internal/core"
 	"tuliprock/internal/discovery"
 	"tuliprock/internal/membership"
+	"tuliprock/internal/metrics"
 	"tuliprock/internal/upstream"
 )
 
@@ -26,6 +28,8 @@
 	keeper   *discovery.Keeper
 	log      *slog.Logger
 
+	listed, avoided atomic.Int64 // members, as the module told them last
+
 	mu     sync.Mutex
 	source discovery.Source
 	leave  func()         // ends the source and waits for it
@@ -35,7 +39,7 @@
 }
 
 // newPool starts a pool. The module hears its first list before anything else.
-func newPool(decide core.Decider, spec config.PoolSpec, bodies *body.Pool, log *slog.Logger) *pool {
+func newPool(decide core.Decider, spec config.PoolSpec, bodies *body.Pool, figures *metrics.Figures, log *slog.Logger) *pool {
 	p := &pool{spec: spec, log: log, keeper: discovery.NewKeeper(membership.Options{})}
 	settings := spec.Settings
 	if settings.Seed == 0 {
@@ -46,7 +50,7 @@
 		begins = upstream.WithLastByte
 	}
 	p.upstream = upstream.New(upstream.Options{Idle: spec.Idle, Dial: spec.Dial, Most: spec.Connections, Spread: spec.Spread, OnlyOK: spec.OnlyOK,
-		Begins: begins, Pool: bodies, Pace: spec.Flow, Answer: spec.AnswerBytes})
+		Begins: begins, Pool: bodies, Pace: spec.Flow, Answer: spec.AnswerBytes, Sent: func() { figures.Tries.Add(1) }})
 	p.loop = core.New(decide, settings, p.upstream, p.subscribe, log)
 	known := spec.Source.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -3,15 +3,17 @@
 import (
 	"tuliprock/internal/config"
 	"tuliprock/internal/front"
+	"tuliprock/internal/metrics"
 )
 
 // routes puts a configuration's routes into the callers' side's terms.
-func routes(c config.Service, pools map[string]*pool) *front.Service {
+func routes(c config.Service, pools map[string]*pool, figures *metrics.Figures) *front.Service {
 	classes := map[*config.Class]*front.Class{}
 	out := &front.Service{Table: c.Table}
 	for _, t := range c.Targets {
 		if classes[t.Class] == nil {
 			classes[t.Class] = class(t.Class)
+			classes[t.Class].Figures = figures.Class(t.Class.Name)
 		}
 		target := front.Target{Pool: pools[t.Pool].loop, Class: classes[t.Class], Tenant: t.Tenant, Prefix: t.Prefix, Replace: t.Replace, Remove: t.Remove}
 		for _, h := range t.Set {
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -23,6 +23,7 @@
 	"tuliprock/internal/config"
 	"tuliprock/internal/core"
 	"tuliprock/internal/discovery"
+	"tuliprock/internal/metrics"
 	"tuliprock/internal/standin"
 	"tuliprock/internal/testpeer"
 )
@@ -616,7 +617,7 @@
 				list = append(list, discovery.Member{ID: fmt.Sprint("n", i), Addr: fmt.Sprintf("127.%d.%d.%d:80", 1+i>>16, i>>8&255, i&255)})
 			}
 			spec := config.PoolSpec{Name: "p", Connections: 10, Source: config.SourceSpec{Members: []config.Member{{ID: "x", Address: "127.0.0.1:1"}}}}
-			p := newPool(core.Module, spec, nil, slog.New(slog.DiscardHandler))
+			p := newPool(core.Module, spec, nil, &metrics.Figures{}, slog.New(slog.DiscardHandler))
 			defer p.end()
 			done := make(chan bool)
 			for i := 0; b.Loop(); i++ {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,12 +11,15 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"tuliprock/internal/admin"
 	"tuliprock/internal/body"
 	"tuliprock/internal/config"
 	"tuliprock/internal/core"
 	"tuliprock/internal/front"
+	"tuliprock/internal/metrics"
 )
 
 const (
@@ -38,6 +41,9 @@
 	bodies  *body.Pool     // nil: bodies are held whole; fixed at the start
 	drains  time.Duration  // from the end's beginning until bodies that flow are cut off; fixed at the start
 	retired sync.WaitGroup // what a reload took out and has not ended yet
+	figures *metrics.Figures
+	hands   *hands
+	ready   atomic.Bool // callers are taken
 
 	mu        sync.Mutex // a reload holds it from its beginning to its end
 	ending    bool
@@ -45,6 +51,8 @@
 	listeners map[string]*listener // by place
 	leaving   map[*listener]bool   // taken out, and not ended yet
 	running   map[*pool]bool       // in force, or taken out and not ended yet
+	admin     *admin.Server        // nil: operators call nowhere
+	adminAddr string               // as it was told
 }
 
 // installed is a configuration that is, or was, in force.
@@ -62,13 +70,14 @@
 // only beside others.
 func StartWith(decide core.Decider, c config.Service, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{decide: decide, log: log, failed: make(chan error, 1), listeners: map[string]*listener{}, leaving: map[*listener]bool{},
-		running: map[*pool]bool{}, drains: c.Drain}
+		running: map[*pool]bool{}, drains: c.Drain, figures: &metrics.Figures{}, hands: newHands()}
 	if c.BodyMemory > 0 {
 		s.bodies = body.NewPool(c.BodyMemory)
 	}
 	if err := s.Reload(c); err != nil {
 		return nil, err
 	}
+	s.ready.Store(true)
 	return s, nil
 }
 
@@ -82,10 +91,18 @@
 	if s.ending {
 		return errEnding
 	}
-	opened, err := s.open(c) // all that can fail comes first
+	operators, err := s.openAdmin(c) // all that can fail comes first
 	if err != nil {
 		return err
 	}
+	opened, err := s.open(c)
+	if err != nil {
+		if operators != nil {
+			operators.Close()
+		}
+		return err
+	}
+	s.adoptAdmin(c, operators)
 	next := s.install(c)
 	s.current.Swap(next.routes)
 	s.adopt(opened)
@@ -111,13 +128,14 @@
 			}
 		}
 		if p == nil || !p.goesOnAs(spec) {
-			p = newPool(s.decide, spec, s.bodies, s.log.With("pool", spec.Name))
+			p = newPool(s.decide, spec, s.bodies, s.figures, s.log.With("pool", spec.Name))
 			s.running[p] = true
+			s.hands.join(p)
 		}
 		p.users++
 		next.pools[spec.Name] = p
 	}
-	next.routes = routes(c, next.pools)
+	next.routes = routes(c, next.pools, s.figures)
 	return next
 }
 
@@ -135,6 +153,7 @@
 		}
 		s.mu.Unlock()
 		for _, p := range unused {
+			s.hands.leave(p)
 			p.end()
 		}
 	})
@@ -158,7 +177,7 @@
 			}
 			return nil, fmt.Errorf("listener %s: %w", spec.Name, err)
 		}
-		next[at] = newListener(spec, c.Name, socket, &s.current, s.bodies, s.log)
+		next[at] = newListener(spec, c.Name, socket, &s.current, s.bodies, s.figures, s.log)
 	}
 	return next, nil
 }
@@ -243,6 +262,7 @@
 
 // drain ends all listeners, and then the pools.
 func (s *Sidecar) drain() error {
+	s.ready.Store(false)
 	s.mu.Lock()
 	s.ending = true
 	open := s.listeners
@@ -263,7 +283,11 @@
 	}
 	s.mu.Lock()
 	s.retire(s.present)
+	operators := s.admin
 	s.mu.Unlock()
 	s.retired.Wait()
+	if operators != nil {
+		all = errors.Join(all, operators.Close())
+	}
 	return all
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -178,7 +178,9 @@
 	p.out += n
 	switch {
 	case err == nil:
-		p.sent = last
+		if p.sent = last; last {
+			p.x.sent()
+		}
 	case errors.Is(err, body.ErrSlow):
 		p.slow = true
 		p.x.c.Close()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,6 +73,7 @@
 	Pool   *body.Pool // memory for answers that are not held whole; nil: none are taken
 	Pace   body.Pace  // of endpoints, where bodies flow
 	Answer int64      // bytes of such an answer, at most; 0: any number
+	Sent   func()     // is told of each attempt whose last byte was written; nil: nobody is
 	OnlyOK bool       // only a 200 is an answer; else every status below 500 but 429 is, and others are errors with an answer
 }
 
@@ -83,16 +84,18 @@
 	settle               time.Duration // rest of a connection after an answer
 	o                    Options
 
-	mu    sync.Mutex
-	open  int
-	pools map[string]*pool // by endpoint id
+	mu     sync.Mutex
+	open   int
+	pools  map[string]*pool // by endpoint id
+	barred map[string]bool  // endpoints that nothing new may go to, listed or not
 }
 
 // pool holds the idle connections to one endpoint, the one used last at the end.
 type pool struct {
-	addr string
-	keep bool // connections are worth keeping
-	idle []*conn
+	addr   string
+	wanted bool // it takes new requests, by the list
+	keep   bool // connections are worth keeping
+	idle   []*conn
 }
 
 // conn is one connection; it carries one attempt at a time.
@@ -115,7 +118,7 @@
 		o.Dial = defaultDial
 	}
 	return &Client{idleFor: time.Duration(float64(o.Idle) * idleShare), dialTimeout: o.Dial, settle: restAfter, o: o,
-		pools: map[string]*pool{}}
+		pools: map[string]*pool{}, barred: map[string]bool{}}
 }
 
 // SetMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
@@ -131,7 +134,31 @@
 	if p.addr != addr || !keep {
 		u.drain(p)
 	}
-	p.addr, p.keep = addr, keep
+	p.addr, p.wanted, p.keep = addr, keep, keep && !u.barred[id]
+}
+
+// Bar keeps everything new from an endpoint, whatever SetMember says, or no longer does. An attempt that has written
+// nothing yet ends as not sent; those that have go on. Idle connections are closed.
+func (u *Client) Bar(id string, out bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if delete(u.barred, id); out {
+		u.barred[id] = true
+	}
+	p := u.pools[id]
+	if p == nil {
+		return
+	}
+	if p.keep = p.wanted && !out; out {
+		u.drain(p)
+	}
+}
+
+// isBarred tells whether nothing new may go to an endpoint.
+func (u *Client) isBarred(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.barred[id]
 }
 
 // RemoveMember forgets an endpoint.
@@ -289,8 +316,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
-	if p == nil {
+	switch {
+	case p == nil:
 		return nil, "", nil, errNoAddress
+	case u.barred[id]:
+		return nil, "", nil, errBarred
 	}
 	i := len(p.idle) - 1
 	for i > 0 && time.Since(p.idle[i].idleAt) < u.settle {
@@ -342,6 +372,10 @@
 func (u *Client) Attempt(ctx context.Context, id string, m *Message, w Watch) (r balance.Result, reused bool, a Answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
+	if err == nil && u.isBarred(id) { // while it came up, or rested
+		u.discard(c)
+		err = errBarred
+	}
 	if err != nil {
 		return unlessCanceled(ctx, notConnected(err)), false, Answer{}
 	}
@@ -359,11 +393,12 @@
 var (
 	errNoAddress     = errors.New("no address is known")
 	errNoDescriptors = errors.New("all descriptors for endpoints are in use")
+	errBarred        = errors.New("operators have taken it out")
 )
 
 // notConnected is the outcome where no connection came about. What is lacking here says nothing of the endpoint.
 func notConnected(err error) balance.Result {
-	for _, own := range []error{errNoAddress, errNoDescriptors, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
+	for _, own := range []error{errNoAddress, errNoDescriptors, errBarred, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, own) {
 			return balance.NotSent
 		}
@@ -419,6 +454,7 @@
 		}
 		return unlessCanceled(ctx, balance.ConnectFailed), Answer{}, false
 	}
+	x.sent()
 	resp, err := x.head(nil)
 	if err != nil {
 		return x.c.broken(ctx, err), Answer{}, false
@@ -426,6 +462,13 @@
 	return x.answer(ctx, resp)
 }
 
+// sent tells that the request's last byte was written.
+func (x *exchange) sent() {
+	if x.u.o.Sent != nil {
+		x.u.o.Sent()
+	}
+}
+
 // answer reads the rest of an answer, and tells what it is.
 func (x *exchange) answer(ctx context.Context, resp *http.Response) (r balance.Result, a Answer, reusable bool) {
 	if x.isLong(resp) {
