--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -43,6 +43,8 @@
 	b        *balance.Balancer
 	list     map[string]balance.Endpoint // as last told
 	stopped  map[string]time.Duration    // when told of a drain or removal
+	barred   map[string]bool             // out by hand
+	bars     int
 	requests map[string]*asked
 	order    []string
 	timers   []time.Duration
@@ -67,6 +69,9 @@
 	if at, ok := w.stopped[ep]; ok && w.now > at {
 		w.t.Fatalf("%v: Send to %s, told to stop at %v", w.now, ep, at)
 	}
+	if w.barred[ep] {
+		w.t.Fatalf("%v: Send to %s, which is out by hand", w.now, ep)
+	}
 	if w.s.MaxAttempts > 0 && len(q.attempts) >= w.s.MaxAttempts {
 		w.t.Fatalf("%v: attempt %d of %s", w.now, len(q.attempts), id)
 	}
@@ -152,6 +157,9 @@
 	if !w.s.MayProbe {
 		w.t.Fatalf("%v: Probe is not allowed", w.now)
 	}
+	if w.barred[ep] {
+		w.t.Fatalf("%v: Probe of %s, which is out by hand", w.now, ep)
+	}
 	w.probes = append(w.probes, ep)
 }
 func (w *world) Idle(string) bool       { return w.rng.IntN(2) == 0 }
@@ -171,6 +179,26 @@
 		}
 	}
 	w.b.EndpointList(w.now, l)
+	for id := range w.barred {
+		w.b.Bar(w.now, id, true)
+	}
+}
+
+// bar takes an endpoint out by hand, or back, listed or not.
+func (w *world) bar() {
+	id := "e" + strconv.Itoa(w.rng.IntN(12))
+	out := w.rng.IntN(2) == 0
+	if delete(w.barred, id); out {
+		w.barred[id] = true
+	}
+	w.bars++
+	w.b.Bar(w.now, id, out)
+	if out && !w.b.Knows(id) {
+		w.t.Fatalf("%v: %s is out, and not known", w.now, id)
+	}
+	if listed, avoided := w.b.Census(); avoided > listed {
+		w.t.Fatalf("%v: %d of %d are avoided", w.now, avoided, listed)
+	}
 }
 
 func (w *world) change() {
@@ -223,6 +251,9 @@
 	if !w.over && w.rng.IntN(40) == 0 {
 		w.change()
 	}
+	if !w.over && w.rng.IntN(60) == 0 {
+		w.bar()
+	}
 	due := 0
 	for i := 0; i < len(w.timers); i++ {
 		if w.timers[i] <= w.now {
@@ -284,7 +315,7 @@
 func newWorld(t testing.TB, seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	w := &world{t: t, rng: rng, now: time.Duration(1+rng.IntN(1000)) * time.Second, list: map[string]balance.Endpoint{},
-		stopped: map[string]time.Duration{}, cold: map[string][]time.Duration{}}
+		stopped: map[string]time.Duration{}, barred: map[string]bool{}, cold: map[string][]time.Duration{}}
 	w.s = balance.Settings{Balancers: 1 + rng.IntN(3), Tier: rng.IntN(2), TiersBelow: rng.IntN(3),
 		MustSubscribe: rng.IntN(2) == 0, AskWithin: 10 * time.Second, MaxAttempts: 1 + rng.IntN(5),
 		MayCancel: rng.IntN(4) > 0, MayProbe: rng.IntN(3) == 0,
@@ -328,12 +359,17 @@
 
 func TestRulesHoldOnRandomDays(t *testing.T) {
 	var answers [3]int
+	bars := 0
 	for seed := range uint64(60) {
 		w := play(t, seed, 1500)
+		bars += w.bars
 		for i, n := range w.answers {
 			answers[i] += n
 		}
 	}
+	if bars < 500 {
+		t.Errorf("only %d endpoints were taken out or back: the days test too little", bars)
+	}
 	for i, n := range answers {
 		if n < 1000 {
 			t.Errorf("only %d answers of kind %d: the days test too little", n, i)
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,214 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Call{
+		"check": {Word: Check}, "vars": {Word: Vars}, "set-down s-1": {SetDown, "s-1"}, "set-up s-1": {SetUp, "s-1"},
+		"  set-down \t s-1 \r": {SetDown, "s-1"}, "check\r": {Word: Check}, "set-down ü": {SetDown, "ü"},
+	} {
+		if got, err := Parse([]byte(line)); err != nil || got != want {
+			t.Errorf("%q: %v, %v", line, got, err)
+		}
+	}
+	for line, want := range map[string]string{
+		"": "empty", "   ": "empty", "help": "none of", "CHECK": "none of", "check now": "more on the line", "vars s-1": "more on the line",
+		"set-down": "wants the id", "set-up ": "wants the id", "set-down a b": "more on the line", "check\x00": "no text", "\xff\xfe": "no text",
+		"set-down a\rb": "no text", "set-down " + strings.Repeat("x", maxLine): "longer than",
+	} {
+		if got, err := Parse([]byte(line)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, %v", line, got, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("set-down s-12"))
+	f.Add([]byte("check"))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		c, err := Parse(line)
+		if err != nil {
+			if strings.ContainsAny(err.Error(), "\r\n") {
+				t.Errorf("%q: more than a line: %q", line, err)
+			}
+			return
+		}
+		if wants, ok := takesID[c.Word]; !ok || wants != (c.ID != "") || !bytes.Contains(line, []byte(c.ID)) {
+			t.Errorf("%q: %+v", line, c)
+		}
+	})
+}
+
+// daemon is what a server is tried with. It says what it was asked.
+func daemon(ready bool, barred chan<- string) Daemon {
+	return Daemon{
+		Ready: func() bool { return ready },
+		Vars: func(_ context.Context, w io.Writer) error {
+			_, err := io.WriteString(w, "edge_router.active:1|g\n")
+			return err
+		},
+		Bar: func(ctx context.Context, id string, out bool) (string, error) {
+			switch id {
+			case "nobody":
+				return "", errors.New("nobody: no endpoint of this id is listed")
+			case "slow":
+				<-ctx.Done()
+				return "", errors.New("not confirmed in time")
+			}
+			barred <- fmt.Sprint(id, " ", out)
+			return id + " is done", nil
+		},
+	}
+}
+
+func start(t *testing.T, most int, d Daemon) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l, most, d, slog.New(slog.DiscardHandler))
+	served := make(chan struct{})
+	go func() { defer close(served); s.Serve() }()
+	t.Cleanup(func() {
+		s.Close()
+		<-served
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	return nc
+}
+
+// call sends text and reads all that comes, to the end.
+func call(t *testing.T, s *Server, text string) string {
+	t.Helper()
+	nc := dial(t, s)
+	if _, err := io.WriteString(nc, text); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(nc)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	return string(answer)
+}
+
+func TestOneLineOneAnswerClose(t *testing.T) {
+	barred := make(chan string, 9)
+	s := start(t, 4, daemon(true, barred))
+	for _, row := range []struct{ send, want string }{
+		{"check\n", "SUCCESS this process takes clients\n"},
+		{"check\r\nvars\n", "SUCCESS this process takes clients\n"}, // the rest is not read
+		{"\n\r\n \ncheck\n", "SUCCESS this process takes clients\n"},
+		{"vars\n", "edge_router.active:1|g\nEOT\n"},
+		{"set-down s-1\n", "SUCCESS s-1 is done\n"},
+		{"set-up s-1\n", "SUCCESS s-1 is done\n"},
+		{"set-down nobody\n", "FAILURE nobody: no endpoint of this id is listed\n"},
+		{"set-down slow\n", "FAILURE not confirmed in time\n"},
+		{"set-down\n", "FAILURE set-down wants the id of an endpoint\n"},
+		{"boo\n", "FAILURE \"boo\" is none of check, vars, set-down ID, set-up ID\n"},
+		{"\x01\x02\n", "FAILURE the line is no text\n"},
+		{strings.Repeat("x", 70<<10) + "\n", "FAILURE the line is longer than 512 bytes\n"},
+	} {
+		if got := call(t, s, row.send); got != row.want {
+			t.Errorf("%.60q: %q, want %q", row.send, got, row.want)
+		}
+	}
+	for _, want := range []string{"s-1 true", "s-1 false"} {
+		if got := <-barred; got != want {
+			t.Errorf("%s, want %s", got, want)
+		}
+	}
+	if got := call(t, start(t, 4, daemon(false, nil)), "check\n"); !strings.HasPrefix(got, "FAILURE ") {
+		t.Errorf("not ready: %q", got)
+	}
+}
+
+// A cut id could be another endpoint's.
+func TestHalfALineIsNotActedOn(t *testing.T) {
+	barred := make(chan string, 1)
+	s := start(t, 4, daemon(true, barred))
+	nc := dial(t, s)
+	_, _ = io.WriteString(nc, "set-down s-12")
+	_ = nc.(*net.TCPConn).CloseWrite()
+	if answer, err := io.ReadAll(nc); err != nil || len(answer) > 0 {
+		t.Errorf("%q, %v", answer, err)
+	}
+	select {
+	case did := <-barred:
+		t.Error(did)
+	default:
+	}
+}
+
+// Callers that sit there keep nobody out, nor does one whose call takes long.
+func TestSittersKeepNobodyOut(t *testing.T) {
+	const most = 4
+	s := start(t, most, daemon(true, make(chan string, 1)))
+	var sitters []net.Conn
+	for i := range 20 * most {
+		nc := dial(t, s)
+		_, _ = io.WriteString(nc, []string{"", "che", "\n\n", "set-down s-1"}[i%4])
+		sitters = append(sitters, nc)
+	}
+	busy := dial(t, s)
+	_, _ = io.WriteString(busy, "set-down slow\n")
+	for range 5 {
+		began := time.Now()
+		if got := call(t, s, "check\n"); !strings.HasPrefix(got, "SUCCESS") {
+			t.Errorf("%q", got)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("answered after %v", took)
+		}
+	}
+	if answer, err := io.ReadAll(busy); err != nil || !strings.HasPrefix(string(answer), "FAILURE") {
+		t.Errorf("the busy one: %q, %v", answer, err)
+	}
+	gone := 0
+	for _, nc := range sitters {
+		_ = nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := nc.Read(make([]byte, 1)); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			if ne := net.Error(nil); !errors.As(err, &ne) || !ne.Timeout() {
+				gone++
+			}
+		}
+	}
+	if gone < 19*most {
+		t.Errorf("only %d of %d that sat there were let go for others", gone, len(sitters))
+	}
+}
+
+// Close ends whoever sits there, and Serve.
+func TestCloseEndsAll(t *testing.T) {
+	s := start(t, 4, daemon(true, nil))
+	nc := dial(t, s)
+	call(t, s, "check\n")
+	s.Close()
+	if _, err := nc.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection is open still")
+	}
+	if s.open != 0 || s.idle.Len() != 0 {
+		t.Errorf("%d open, %d idle", s.open, s.idle.Len())
+	}
+}
