A process is replaced under load: inherited socket, who takes callers, bars for all

Not by a guess: os.File would set the shared socket blocking for a moment, so the descriptor is duplicated by hand. Go's own listeners are MPTCP sockets, which the check must take. Two processes and a third replace one another under 12 callers in the test, which fails on any request lost or doubled, and on any at an endpoint that is out.

--- /dev/null
+++ b/cmd/tuliprock/handover_test.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"tuliprock/internal/testpeer"
+)
+
+// stage stands in for what starts the daemon on a day on which its process is replaced: it holds the listening socket
+// and a directory, and runs a discovery and endpoints that know which requests came.
+type stage struct {
+	t         *testing.T
+	socket    *os.File
+	addr      string
+	dir       string
+	discovery string
+	names     []string
+	endpoints []*testpeer.Endpoint
+	starts    int
+
+	mu   sync.Mutex
+	came map[string]int // requests by id
+}
+
+func newStage(t *testing.T, endpoints int) *stage {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := &stage{t: t, addr: l.Addr().String(), dir: t.TempDir(), came: map[string]int{}}
+	if p.socket, err = l.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.socket.Close() })
+	for i := range endpoints {
+		p.names = append(p.names, fmt.Sprint("s-", i))
+		p.endpoints = append(p.endpoints, testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+			p.mu.Lock()
+			p.came[r.Header.Get("Req-Id")]++
+			p.mu.Unlock()
+			time.Sleep(2 * time.Millisecond) // its work
+			_, err := io.WriteString(nc, testpeer.Served)
+			return err == nil
+		}))
+	}
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") == "" {
+			_, _ = io.WriteString(w, p.list())
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() {
+		d.CloseClientConnections()
+		d.Close()
+	})
+	p.discovery = d.Listener.Addr().String()
+	return p
+}
+
+func (p *stage) list() string {
+	var members []string
+	for i, e := range p.endpoints {
+		members = append(members, testpeer.Member(p.names[i], e.Addr, "Ready"))
+	}
+	return testpeer.Members(7, true, members...)
+}
+
+// process is a daemon that was started, and where operators call it.
+type process struct {
+	*daemonRun
+	admin string
+}
+
+func (p *stage) start() *process {
+	p.t.Helper()
+	p.starts++
+	out := &process{admin: testpeer.FreePort(p.t)}
+	// The list that it is started with is old: it names nobody.
+	config := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":%q,"discovery":%q,"seed":"7","limits":{"cores":1,"memory_mb":64,"sockets":384},"known":%s,"settings":%s}`,
+		p.addr, out.admin, p.discovery, testpeer.Members(1, true), `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000}],"Permissions":{"TryLimit":4,"RetryAfter":true}}`)
+	path := filepath.Join(p.t.TempDir(), fmt.Sprint(p.starts, ".json"))
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := program()
+	cmd.ExtraFiles = []*os.File{p.socket}
+	cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+path, "ROUTER_LISTEN_FD=3", "TMPDIR="+p.dir)
+	out.daemonRun = &daemonRun{cmd: cmd}
+	out.begin(p.t)
+	return out
+}
+
+func (p *process) call(t *testing.T, line string) string {
+	t.Helper()
+	nc, err := net.Dial("tcp", p.admin)
+	if err != nil {
+		return ""
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(testpeer.Patience))
+	_, _ = io.WriteString(nc, line+"\n")
+	text, _ := io.ReadAll(nc)
+	return string(text)
+}
+
+func (p *process) says(t *testing.T, line, want string) {
+	t.Helper()
+	testpeer.Until(t, line+" is answered with "+want, func() bool { return strings.HasPrefix(p.call(t, line), want) })
+}
+
+// load is callers that ask all the time, each on a connection that it keeps, and some on ever new ones.
+type load struct {
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+	served atomic.Int64
+}
+
+func (p *stage) load(callers int) *load {
+	l := &load{}
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop = stop
+	for c := range callers {
+		l.work.Go(func() {
+			transport := &http.Transport{DisableKeepAlives: c%3 == 0}
+			defer transport.CloseIdleConnections()
+			client := http.Client{Transport: transport}
+			for i := 0; ctx.Err() == nil; i++ {
+				r, _ := http.NewRequest(http.MethodGet, "http://"+p.addr+"/look", nil)
+				r.Header.Set("Req-Id", fmt.Sprint(c, "-", i))
+				r.Header.Set("Req-Deadline-Ms", "5000")
+				resp, err := client.Do(r)
+				if err != nil {
+					p.t.Errorf("caller %d, request %d: %v", c, i, err)
+					return
+				}
+				text, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusOK || string(text) != "hi" {
+					p.t.Errorf("caller %d, request %d: %d %q %v", c, i, resp.StatusCode, text, err)
+					return
+				}
+				l.served.Add(1)
+				time.Sleep(time.Duration(1+c%7) * time.Millisecond)
+			}
+		})
+	}
+	return l
+}
+
+// more waits until so many more requests were served.
+func (l *load) more(t *testing.T, n int64) {
+	t.Helper()
+	want := l.served.Load() + n
+	testpeer.Until(t, fmt.Sprint(n, " more requests are served"), func() bool { return t.Failed() || l.served.Load() >= want })
+}
+
+func (p *stage) end(l *load) {
+	l.stop()
+	l.work.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, n := range p.came {
+		if n != 1 {
+			p.t.Errorf("%s came %d times", id, n)
+		}
+	}
+}
+
+// exits waits for a process's end, which must be clean.
+func (p *process) exits(t *testing.T) {
+	t.Helper()
+	if err := p.ended(); err != nil {
+		t.Errorf("a process ends with %v: %s", err, &p.spoken)
+	}
+}
+
+// Two processes replace one another under load, twice: no request is lost, none comes twice, and what operators took out before
+// stays out until they give it back, whichever process they call.
+func TestAProcessIsReplacedUnderLoad(t *testing.T) {
+	p := newStage(t, 3)
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	callers := p.load(12)
+	callers.more(t, 50)
+	first.says(t, "set-down s-1", "SUCCESS")
+	time.Sleep(50 * time.Millisecond) // what was out is answered
+	out := p.endpoints[1].Requests.Load()
+	second := p.start()
+	second.says(t, "check", "SUCCESS")
+	first.signal(t, syscall.SIGTERM)
+	first.exits(t)
+	callers.more(t, 200)
+	third := p.start()
+	third.says(t, "check", "SUCCESS")
+	if came := p.endpoints[1].Requests.Load() - out; came > 0 {
+		t.Errorf("%d requests came to the one that is out", came)
+	}
+	second.says(t, "set-up s-1", "SUCCESS") // the one that is on its way out is called: the other hears of it
+	second.signal(t, syscall.SIGTERM)
+	second.exits(t)
+	testpeer.Until(t, "s-1 is used again", func() bool { return t.Failed() || p.endpoints[1].Requests.Load() > out })
+	p.end(callers)
+	third.signal(t, syscall.SIGTERM)
+	third.exits(t)
+}
+
+// A newer process that dies hands back: at once before it was ready, and after.
+func TestAnOlderProcessTakesOverAgain(t *testing.T) {
+	p := newStage(t, 2)
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	callers := p.load(6)
+	callers.more(t, 20)
+	second := p.start()
+	second.signal(t, syscall.SIGKILL) // at its start
+	_ = second.ended()
+	callers.more(t, 50)
+	callers.stop() // what a SIGKILL finds is lost
+	callers.work.Wait()
+	stays, err := net.Dial("tcp", p.addr) // a caller that keeps its connection: the first process may not go
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stays.Close()
+	_, _ = io.WriteString(stays, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := stays.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	third := p.start()
+	third.says(t, "check", "SUCCESS")
+	first.says(t, "check", "FAILURE")
+	third.signal(t, syscall.SIGKILL)
+	_ = third.ended()
+	first.says(t, "check", "SUCCESS")
+	again := p.load(6)
+	again.more(t, 50)
+	again.stop()
+	again.work.Wait()
+	first.signal(t, syscall.SIGTERM)
+	first.exits(t)
+}
+
+// One that was taken over from goes when all callers have, without any signal.
+func TestOneThatIsReplacedGoes(t *testing.T) {
+	p := newStage(t, 1)
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	second := p.start()
+	second.says(t, "check", "SUCCESS")
+	first.exits(t)
+	callers := p.load(3)
+	callers.more(t, 20)
+	p.end(callers)
+	second.signal(t, syscall.SIGTERM)
+	second.exits(t)
+}
+
+// A descriptor that is not the socket at the listen address is told in one line, and nothing starts.
+func TestAWrongDescriptor(t *testing.T) {
+	p := newStage(t, 1)
+	p.addr = testpeer.FreePort(t)
+	d := p.start()
+	if err := d.ended(); err == nil {
+		t.Error("it started")
+	}
+	if said := d.String(); strings.Count(said, "\n") != 1 || !strings.Contains(said, "listens at") {
+		t.Errorf("%s", said)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"tuliprock/internal/discovery"
+	"tuliprock/internal/handover"
 	"tuliprock/internal/wire"
 )
 
@@ -35,7 +36,11 @@
 	Admin     string // where operators call; empty: nowhere
 	Limits    Limits
 	Known     discovery.Members
-	Settings  wire.Settings
+
+	Descriptor int    // of the listening socket, which the platform holds and other processes may have too; 0: none
+	Shared     string // directory that all processes of the sidecar have; empty: none
+
+	Settings wire.Settings
 }
 
 // Load reads the file that ROUTER_CONFIG names. Variables fill what it lacks. An error names the field at
@@ -77,6 +82,11 @@
 	if err := discovery.CheckAddress("discovery", c.Discovery); err != nil {
 		return c, err
 	}
+	c.Shared = getenv("TMPDIR")
+	var err error
+	if c.Descriptor, err = handover.Descriptor("ROUTER_LISTEN_FD", getenv("ROUTER_LISTEN_FD")); err != nil {
+		return c, err
+	}
 	if c.Admin != "" {
 		if err := discovery.CheckAddress("admin_addr", c.Admin); err != nil {
 			return c, err
@@ -88,7 +98,6 @@
 	if len(file.Settings) == 0 {
 		return c, errors.New("settings: missing")
 	}
-	var err error
 	if c.Settings, err = wire.ParseSettings(file.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -58,6 +58,8 @@
 	FlowIdle     time.Duration `toml:"flow_idle"`   // the longest wait for a caller while a body flows
 	FlowRate     int64         `toml:"flow_rate"`   // bytes a second that it must keep up; 0: none
 
+	Descriptor int `toml:"-"` // of its socket, which the platform holds; 0: it is opened
+
 	Raw bool // targets are matched and go on as they came: the platform's way, which a file can't ask for
 }
 
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -19,6 +19,7 @@
 	Name      string
 	Admin     string // where operators call; empty: nowhere
 	Operators int    // their connections at most
+	Shared    string // directory that all processes of the sidecar have; empty: there is one process at a time
 	Limits    Limits // zero values: left to the system
 	Listeners []Listener
 	Pools     []PoolSpec
@@ -46,6 +47,7 @@
 // SourceSpec says where a pool's members come from: exactly one of Agent, Members, File and DNS is set.
 type SourceSpec struct {
 	Agent   string
+	Anew    bool              // the whole list is asked for, though one is known
 	Known   discovery.Members // what the agent said last
 	Members []Member
 	File    string
@@ -56,7 +58,7 @@
 
 // Descriptors is how many files and connections the daemon may have open at most.
 func (s *Service) Descriptors() int {
-	sum := otherDescriptors + s.Operators
+	sum := s.Fixed()
 	for _, l := range s.Listeners {
 		sum += l.Connections + SpareCallers
 	}
@@ -118,7 +120,8 @@
 	if c.Admin != "" {
 		operators = max(c.Limits.Sockets/operatorsPart, leastOperators)
 	}
-	each := max((c.Limits.Sockets-otherDescriptors-SpareCallers-operators)/2, leastConnections)
+	s := Service{Name: c.Name, Admin: c.Admin, Operators: operators, Limits: c.Limits}
+	each := s.Connections(c.Limits.Sockets)
 	rules, targets := rawRules(settings.Classes)
 	table, err := route.New(rules)
 	if err != nil {
@@ -128,9 +131,22 @@
 	l.Name, l.Address, l.Connections, l.Forwarded, l.RetryAfter, l.Raw = platformPool, c.Listen, each, "leave", "fraction", true
 	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, LastByte: true, OnlyOK: true,
 		Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
-	return Service{Name: c.Name, Admin: c.Admin, Operators: operators, Limits: c.Limits, Listeners: []Listener{l}, Pools: []PoolSpec{pool}, Table: table, Targets: targets}, nil
+	if c.Descriptor > 0 { // others may have the same socket
+		l.Descriptor, pool.Source.Anew, s.Shared = c.Descriptor, true, c.Shared
+	}
+	s.Listeners, s.Pools, s.Table, s.Targets = []Listener{l}, []PoolSpec{pool}, table, targets
+	return s, nil
+}
+
+// Connections is how many connections callers, and how many endpoints, may have where the daemon may use so many
+// descriptors.
+func (s *Service) Connections(descriptors int) int {
+	return max((descriptors-s.Fixed()-SpareCallers)/2, leastConnections)
 }
 
+// Fixed is how many descriptors are kept for all else.
+func (s *Service) Fixed() int { return otherDescriptors + s.Operators }
+
 // Moved is the configuration with what a running sidecar may take from a later one on the platform: where discovery
 // is. The list and all that has been learned stay; all else changes with a restart.
 func (c Config) Moved(later Config) Config {
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -46,15 +46,49 @@
 
 // Limit holds a listener of TCP connections to a number that is open at once: beyond it callers wait in the system's
 // queue. (netutil.LimitListener does the same, but hides what can splice.)
-func Limit(l net.Listener, most int) net.Listener {
-	return &limited{Listener: l, room: make(chan struct{}, most), closed: make(chan struct{})}
+func Limit(l net.Listener, most int) *Limited {
+	limited := &Limited{Listener: l, most: most}
+	limited.changed.L = &limited.mu
+	return limited
 }
 
-type limited struct {
+// Limited is what Limit makes.
+type Limited struct {
 	net.Listener
-	room   chan struct{} // holds one for each that is open
-	closed chan struct{}
-	once   sync.Once
+
+	mu      sync.Mutex
+	changed sync.Cond
+	open    int // or about to be accepted
+	most    int
+	closed  bool
+}
+
+// SetMost changes the number. Connections that are beyond it stay.
+func (l *Limited) SetMost(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+	l.changed.Broadcast()
+}
+
+// enter waits for room; false: the listener is closed.
+func (l *Limited) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.open >= l.most && !l.closed {
+		l.changed.Wait()
+	}
+	if !l.closed {
+		l.open++
+	}
+	return !l.closed
+}
+
+func (l *Limited) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	l.changed.Broadcast()
 }
 
 // tcpConn is a connection of a limited listener.
@@ -65,24 +99,24 @@
 }
 
 // Accept implements net.Listener.
-func (l *limited) Accept() (net.Conn, error) {
-	select {
-	case l.room <- struct{}{}:
-	case <-l.closed:
+func (l *Limited) Accept() (net.Conn, error) {
+	if !l.enter() {
 		return nil, net.ErrClosed
 	}
-	leave := func() { <-l.room }
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		leave()
+		l.leave()
 		return nil, err
 	}
-	return &tcpConn{TCPConn: nc.(*net.TCPConn), leave: leave}, nil
+	return &tcpConn{TCPConn: nc.(*net.TCPConn), leave: l.leave}, nil
 }
 
 // Close implements net.Listener.
-func (l *limited) Close() error {
-	l.once.Do(func() { close(l.closed) })
+func (l *Limited) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.changed.Broadcast()
+	l.mu.Unlock()
 	return l.Listener.Close()
 }
 
@@ -113,6 +147,17 @@
 	return &Listener{Listener: l, most: most, headTimeout: headTimeout}
 }
 
+// SetMost changes how many connections are kept where it can.
+func (l *Listener) SetMost(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+	for was := -1; was != l.retiring; {
+		was = l.retiring
+		l.makeRoom()
+	}
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -77,8 +77,8 @@
 // Ends tells whether EndBy was called.
 func (s *Server) Ends() bool { return s.ends.Load() != nil }
 
-// CloseAll makes every answer from now on close its connection.
-func (s *Server) CloseAll() { s.ending.Store(true) }
+// CloseAll makes every answer from now on close its connection, or no longer.
+func (s *Server) CloseAll(is bool) { s.ending.Store(is) }
 
 // HTTP is the server to run on a Listener, whose Track it must be given.
 func (s *Server) HTTP(track func(net.Conn, http.ConnState)) *http.Server {
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,402 @@
+package handover
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func join(t *testing.T, dir string) *Dir {
+	t.Helper()
+	d, err := Join(dir, "n1", quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.life.Close() })
+	return d
+}
+
+// kill ends a process as SIGKILL does: its files stay, its lock does not.
+func (d *Dir) kill() { d.life.Close() }
+
+func (d *Dir) ready(t *testing.T) {
+	t.Helper()
+	if err := d.Ready(true); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (d *Dir) expect(t *testing.T, superseded bool, others ...int) {
+	t.Helper()
+	if _, v, _ := d.Look(LookOnly); v.Superseded != superseded || !slices.Equal(v.Others, others) {
+		t.Errorf("process %d sees %+v, want superseded %v, others %v", d.Number(), v, superseded, others)
+	}
+}
+
+// The newest that lives and is ready takes callers; one that dies hands back by dying.
+func TestTheNewestThatIsReadyTakesCallers(t *testing.T) {
+	dir := t.TempDir()
+	a := join(t, dir)
+	a.ready(t)
+	a.expect(t, false)
+	b := join(t, dir)
+	a.expect(t, false, 2)
+	b.expect(t, false, 1)
+	b.ready(t)
+	a.expect(t, true, 2)
+	b.expect(t, false, 1)
+	c := join(t, dir)
+	c.ready(t)
+	a.expect(t, true, 2, 3)
+	b.expect(t, true, 1, 3)
+	c.kill()
+	a.expect(t, true, 2)
+	b.expect(t, false, 1)
+	b.kill()
+	a.expect(t, false)
+	if err := a.Close(); err != nil {
+		t.Error(err)
+	}
+	d := join(t, dir)
+	d.expect(t, false)
+}
+
+// One that is ready no more is no heir.
+func TestReadyCanBeTakenBack(t *testing.T) {
+	dir := t.TempDir()
+	a, b := join(t, dir), join(t, dir)
+	b.ready(t)
+	a.expect(t, true, 2)
+	if err := b.Ready(false); err != nil {
+		t.Fatal(err)
+	}
+	a.expect(t, false, 2)
+}
+
+// What one process was called all know, those that begin later too, and a call back wins over an earlier call out.
+func TestBarsAreKnownToAll(t *testing.T) {
+	dir := t.TempDir()
+	a, b := join(t, dir), join(t, dir)
+	at := time.Now()
+	for _, call := range []struct {
+		by  *Dir
+		id  string
+		out bool
+	}{{a, "s-1", true}, {b, "s-2", true}, {b, "s-1", true}, {a, "s-2", false}} {
+		if err := call.by.Bar(call.id, call.out, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.kill()
+	b.kill()
+	for _, d := range []*Dir{b, join(t, dir)} {
+		s, _, _ := d.Look(LookOnly)
+		if want := []Bar{{"s-1", true, at.UnixMilli()}, {"s-2", false, at.UnixMilli()}}; !slices.Equal(s.Bars, want) {
+			t.Errorf("process %d: %v", d.Number(), s.Bars)
+		}
+	}
+	if err := b.Bar("s-3", false, at.Add(2*backFor)); err != nil { // what was given back long ago is forgotten, what is out is not
+		t.Fatal(err)
+	}
+	if s, _, _ := b.Look(LookOnly); len(s.Bars) != 2 || s.Bars[0].ID != "s-1" {
+		t.Errorf("%v", s.Bars)
+	}
+}
+
+// Calls of many processes at once: none is lost.
+func TestCallsAtOnceAreAllKept(t *testing.T) {
+	dir := t.TempDir()
+	var all sync.WaitGroup
+	for p := range 4 {
+		d := join(t, dir)
+		for k := range 2 {
+			all.Go(func() {
+				for i := range 10 {
+					if err := d.Bar(fmt.Sprint(p, "-", k, "-", i), true, time.Now()); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+	}
+	all.Wait()
+	if s, _, _ := join(t, dir).Look(LookOnly); len(s.Bars) != 80 {
+		t.Errorf("%d of 80 calls are known", len(s.Bars))
+	}
+}
+
+// What is damaged, or another's, is set aside with a word in the log, and is never a reason not to start.
+func TestDamageIsSetAside(t *testing.T) {
+	whole, _ := State{Format: format, Name: "n1", Processes: []Process{{Number: 3}}, Bars: []Bar{{"s-1", true, 5}}}.text()
+	for name, text := range map[string]string{
+		"empty": "", "cut": string(whole[:len(whole)/2]), "noise": "\x00\xff\x10", "another format": strings.Replace(string(whole), `"format": 1`, `"format": 2`, 1),
+		"another sidecar": strings.Replace(string(whole), `"n1"`, `"n2"`, 1), "no id": strings.Replace(string(whole), `"s-1"`, `""`, 1),
+		"numbers": strings.Replace(string(whole), `"number": 3`, `"number": -3`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			if err := os.WriteFile(filepath.Join(dir, "tuliprock-n1.state"), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var said bytes.Buffer
+			d, err := Join(dir, "n1", slog.New(slog.NewTextHandler(&said, nil)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Close()
+			s, _, _ := d.Look(LookOnly)
+			if len(s.Bars) != 0 || !strings.Contains(said.String(), "set aside") {
+				t.Errorf("%v; the log: %s", s.Bars, &said)
+			}
+			if aside, err := os.ReadFile(filepath.Join(dir, "tuliprock-n1.state.bad")); err != nil || string(aside) != text {
+				t.Errorf("set aside: %q, %v", aside, err)
+			}
+		})
+	}
+	if s, err := Parse(whole, "n1"); err != nil || len(s.Bars) != 1 {
+		t.Errorf("the whole one: %v, %v", s, err)
+	}
+}
+
+// Damage under a process that runs changes nothing that it knows, and its next call mends the file.
+func TestDamageWhileItRuns(t *testing.T) {
+	dir := t.TempDir()
+	d := join(t, dir)
+	_ = d.Bar("s-1", true, time.Now())
+	d.Look(LookOnly)
+	if err := os.WriteFile(filepath.Join(dir, "tuliprock-n1.state"), []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s, _, _ := d.Look(LookOnly); len(s.Bars) != 1 {
+		t.Errorf("%v", s.Bars)
+	}
+	if err := d.Bar("s-2", true, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if s, _, _ := d.Look(LookOnly); len(s.Bars) != 1 || s.Bars[0].ID != "s-2" {
+		t.Errorf("%v", s.Bars)
+	}
+}
+
+func TestADirectoryThatCannotBeUsed(t *testing.T) {
+	if _, err := Join(filepath.Join(t.TempDir(), "nowhere"), "n1", quiet); err == nil {
+		t.Error("joined")
+	}
+}
+
+func TestNamesOfFilesDiffer(t *testing.T) {
+	seen := map[string]string{}
+	for _, name := range []string{"n1", "n/1", "n_1", "n:1", "", "..", strings.Repeat("x", 300), strings.Repeat("x", 301)} {
+		file := plain(name)
+		if other, ok := seen[file]; ok || strings.ContainsAny(file, "/.") || len(file) > 100 {
+			t.Errorf("%.20q and %.20q: %q", name, other, file)
+		}
+		seen[file] = name
+	}
+}
+
+func TestBarsAreBounded(t *testing.T) {
+	var s State
+	for i := range 3 * MostBars {
+		at := int64(i)
+		if ok := s.bar(Bar{fmt.Sprint("o", i), true, at}); ok != (i < MostBars) {
+			t.Fatalf("call %d: %v", i, ok)
+		}
+		s.bar(Bar{fmt.Sprint("b", i), false, at})
+	}
+	if n := len(s.Bars); n > MostBars+mostBacks {
+		t.Errorf("%d are kept", n)
+	}
+	text, err := State{Format: format, Name: "n", Bars: s.Bars}.text()
+	if _, bad := Parse(text, "n"); err != nil || bad != nil || len(text) > mostBytes {
+		t.Errorf("%v, %v, %d bytes", err, bad, len(text))
+	}
+}
+
+// The shares of two that are in the middle of a hand-over never come to more than there is, once each has seen the other's.
+func TestSharesFitTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(256, 4096).Draw(t, "limit")
+		older := View{Others: []int{2}, Superseded: rapid.Bool().Draw(t, "ready")}
+		usedByOlder := rapid.IntRange(20, limit-newcomer-reserve).Draw(t, "used by the older")
+		share := Share(limit, View{Others: []int{1}}, usedByOlder)
+		if share+usedByOlder > limit {
+			t.Fatalf("the newer one may use %d beside %d of %d", share, usedByOlder, limit)
+		}
+		usedByNewer := rapid.IntRange(0, max(share, 0)).Draw(t, "used by the newer")
+		if older := Share(limit, older, usedByNewer); older+usedByNewer > limit {
+			t.Fatalf("the older one may use %d beside %d of %d", older, usedByNewer, limit)
+		}
+		if Share(limit, View{}, 0) != limit {
+			t.Fatal("one that is alone has less than all")
+		}
+	})
+	if got := Share(1024, View{Others: []int{2}, Superseded: true}, 500); got != 256 {
+		t.Errorf("where the newer one needs half, the older one keeps %d", got)
+	}
+}
+
+func TestParts(t *testing.T) {
+	alone, beside, over := View{}, View{Others: []int{1}}, View{Others: []int{2}, Superseded: true}
+	type look struct {
+		at      time.Duration
+		v       View
+		listed  bool
+		callers int
+		want    Phase
+	}
+	const s = time.Second
+	for name, looks := range map[string][]look{
+		"alone":            {{0, alone, false, 0, Serving}, {s, alone, true, 5, Serving}},
+		"a newcomer":       {{0, beside, true, 0, Coming}, {noticed, beside, true, 0, Serving}, {s, beside, true, 9, Serving}},
+		"a silent list":    {{s, beside, false, 0, Coming}, {listTime, beside, false, 0, Serving}},
+		"the others die":   {{0, beside, false, 0, Coming}, {1, alone, false, 0, Serving}},
+		"it is taken over": {{0, alone, true, 5, Serving}, {s, over, true, 5, Leaving}, {9 * s, over, true, 1, Leaving}, {10 * s, over, true, 0, Gone}},
+		"no haste":         {{0, alone, true, 0, Serving}, {s, over, true, 0, Leaving}, {s + settle - 1, over, true, 0, Leaving}, {s + settle, over, true, 0, Gone}},
+		"the heir dies":    {{0, alone, true, 5, Serving}, {s, over, true, 5, Leaving}, {2 * s, alone, true, 0, Serving}, {3 * s, over, true, 0, Leaving}},
+	} {
+		p := NewPart(0)
+		for i, l := range looks {
+			was := p.Phase()
+			if changed := p.Look(l.at, l.v, l.listed, l.callers); p.Phase() != l.want || changed != (was != l.want) {
+				t.Errorf("%s, look %d: phase %d, changed %v, want %d", name, i, p.Phase(), changed, l.want)
+			}
+		}
+	}
+}
+
+func TestDescriptor(t *testing.T) {
+	for value, want := range map[string]int{"": 0, "5": 5, "3": 3} {
+		if fd, err := Descriptor("ROUTER_LISTEN_FD", value); err != nil || fd != want {
+			t.Errorf("%q: %d, %v", value, fd, err)
+		}
+	}
+	for _, value := range []string{"five", "-1", "0", "2", "5x"} {
+		if _, err := Descriptor("ROUTER_LISTEN_FD", value); err == nil || !strings.Contains(err.Error(), "ROUTER_LISTEN_FD") {
+			t.Errorf("%q: %v", value, err)
+		}
+	}
+}
+
+// inherited is a descriptor of a socket, as a platform hands it on.
+func inherited(t *testing.T, l *net.TCPListener) int {
+	t.Helper()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd := -1
+	if err := raw.Control(func(of uintptr) { fd, err = unix.FcntlInt(of, unix.F_DUPFD_CLOEXEC, 0) }); err != nil || fd < 0 {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	return fd
+}
+
+func TestTheSocketIsChecked(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	raw, _ := u.(*net.UDPConn).SyscallConn()
+	udp := -1
+	_ = raw.Control(func(of uintptr) { udp, _ = unix.FcntlInt(of, unix.F_DUPFD_CLOEXEC, 0) })
+	defer unix.Close(udp)
+	bound, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(bound)
+	file, err := os.Create(filepath.Join(t.TempDir(), "f"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	fd, here := inherited(t, l.(*net.TCPListener)), l.Addr().String()
+	for _, row := range []struct {
+		fd      int
+		address string
+		want    string
+	}{{fd, here, ""}, {fd, "0.0.0.0:" + here[strings.LastIndex(here, ":")+1:], ""}, {fd, "127.0.0.1:1", "not at 127.0.0.1:1"}, {fd, "127.0.0.2" + here[strings.LastIndex(here, ":"):], "not at"},
+		{udp, here, "no TCP socket"}, {bound, here, "does not listen"}, {int(file.Fd()), here, "no socket"}, {9999, here, "no socket"}} {
+		got, err := Listener(row.fd, row.address)
+		if row.want == "" {
+			if err != nil {
+				t.Errorf("%s: %v", row.address, err)
+				continue
+			}
+			got.Close()
+		} else if err == nil || !strings.Contains(err.Error(), row.want) {
+			t.Errorf("descriptor %d at %s: %v, want %q", row.fd, row.address, err, row.want)
+		}
+	}
+}
+
+// A listener that closes leaves the socket to the others: callers in its queue are theirs.
+func TestClosingLeavesTheSocket(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd, here := inherited(t, l.(*net.TCPListener)), l.Addr().String()
+	first, err := Listener(fd, here)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	nc, err := net.Dial("tcp", here)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	first.Close()
+	second, err := Listener(fd, here)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	_ = second.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := second.Accept(); err != nil {
+		t.Errorf("who waited in the queue is lost: %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	whole, _ := State{Format: format, Name: "n1", Processes: []Process{{1, true}}, Bars: []Bar{{"s-1", true, 5}}}.text()
+	f.Add(whole)
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse(text, "n1")
+		if err != nil {
+			return
+		}
+		s.join(func(int) bool { return true })
+		s.bar(Bar{"x", true, 1})
+		again, err := s.text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(again, "n1"); err != nil {
+			t.Errorf("%s becomes %s: %v", text, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/handover/socket.go
@@ -0,0 +1,94 @@
+package handover
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+)
+
+// leastDescriptor is the first that is not one of the standard ones.
+const leastDescriptor = 3
+
+// Descriptor reads the number of an inherited descriptor; 0: none was told. The error names the variable.
+func Descriptor(variable, value string) (int, error) {
+	if value == "" {
+		return 0, nil
+	}
+	fd, err := strconv.Atoi(value)
+	if err != nil || fd < leastDescriptor {
+		return 0, fmt.Errorf("%s: %.40q is no descriptor", variable, value)
+	}
+	return fd, nil
+}
+
+// Listener makes a listener of an inherited socket, which must listen at the address given. The socket itself stays open,
+// and is never shut down: other processes accept from it too.
+//
+// The descriptor is made non-blocking first and stays so: were it blocking for a moment, an accept of another process that
+// has lost its caller to this one would hang until the next (os.File.Fd sets only those blocking that it has made
+// non-blocking itself).
+func Listener(fd int, address string) (*net.TCPListener, error) {
+	if err := check(fd, address); err != nil {
+		return nil, err
+	}
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, err
+	}
+	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(own), "listener")
+	defer f.Close() // net makes another descriptor
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, fmt.Errorf("descriptor %d is no TCP socket", fd)
+	}
+	return tcp, nil
+}
+
+// check tells why a descriptor is not a TCP socket that listens at an address.
+func check(fd int, address string) error {
+	kind, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TYPE)
+	if err != nil {
+		return fmt.Errorf("descriptor %d is no socket: %w", fd, err)
+	}
+	protocol, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_PROTOCOL)
+	tcp := protocol == unix.IPPROTO_TCP || protocol == unix.IPPROTO_MPTCP // as Go's own listeners are
+	if err != nil || kind != unix.SOCK_STREAM || !tcp {
+		return fmt.Errorf("descriptor %d is no TCP socket", fd)
+	}
+	if listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || listens == 0 {
+		return fmt.Errorf("descriptor %d does not listen", fd)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		return fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	var at net.TCPAddr
+	switch a := name.(type) {
+	case *unix.SockaddrInet4:
+		at = net.TCPAddr{IP: a.Addr[:], Port: a.Port}
+	case *unix.SockaddrInet6:
+		at = net.TCPAddr{IP: a.Addr[:], Port: a.Port}
+	default:
+		return fmt.Errorf("descriptor %d is no TCP socket", fd)
+	}
+	want, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return err
+	}
+	anywhere := want.IP == nil || want.IP.IsUnspecified()
+	if at.Port != want.Port || !at.IP.IsUnspecified() && !anywhere && !at.IP.Equal(want.IP) {
+		return fmt.Errorf("descriptor %d listens at %s, not at %s", fd, &at, address)
+	}
+	return nil
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -14,11 +14,21 @@
 	"tuliprock/internal/metrics"
 )
 
+// heir is who has a listener's socket after its end.
+type heir int
+
+const (
+	nobody  heir = iota
+	server       // another one in this process
+	process      // another process
+)
+
 // listener is an address that callers connect to, and the server behind it.
 type listener struct {
 	spec    config.Listener
 	via     string
 	socket  *hold
+	limited *front.Limited
 	conns   *front.Listener
 	callers *front.Server
 	server  *http.Server
@@ -38,7 +48,7 @@
 func newListener(spec config.Listener, via string, socket *hold, current *front.Current, bodies *body.Pool, figures *metrics.Figures, log *slog.Logger) *listener {
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	limited := front.Limit(socket, spec.Connections+config.SpareCallers)
-	l := &listener{spec: spec, via: via, socket: socket, served: make(chan struct{}),
+	l := &listener{spec: spec, via: via, socket: socket, served: make(chan struct{}), limited: limited,
 		conns: front.NewListener(limited, spec.Connections, spec.HeadTimeout)}
 	l.callers = front.New(front.Options{Head: spec.HeadBytes, Body: spec.BodyBytes, HeadTimeout: spec.HeadTimeout, BodyTimeout: spec.BodyTimeout,
 		IdleTimeout: spec.IdleTimeout, WriteTimeout: spec.WriteTimeout, Forwarded: front.Forwarded(spec.Forwarded), Pseudonym: via, Fractions: spec.RetryAfter == "fraction", Raw: spec.Raw,
@@ -48,6 +58,12 @@
 	return l
 }
 
+// limit changes how many connections are kept.
+func (l *listener) limit(most int) {
+	l.limited.SetMost(most + config.SpareCallers)
+	l.conns.SetMost(most)
+}
+
 // accept takes callers until the listener is closed.
 func (l *listener) accept() error {
 	defer close(l.served)
@@ -64,13 +80,17 @@
 // away for as long as this process is there to serve them: for a while all goes on as before, as long as callers are
 // connected; then answers say Connection: close, and idle connections are closed. There is no further limit of time:
 // requests end by their deadlines, those taken from now on in time for the end, and net/http closes connections that
-// bring none. A listener whose socket has another server behind it need not wait.
-func (l *listener) drain(replaced bool) error {
+// bring none. A listener whose socket has another server behind it need not wait, but where that is another process's the
+// connections that callers have here are theirs for as long: its answers close them.
+func (l *listener) drain(by heir) error {
 	began := time.Now()
-	for d := time.Duration(0); !replaced && (d < acceptAfterTerm || d < serveAfterTerm && l.conns.Count() > 0); d = time.Since(began) {
+	if by == process {
+		l.callers.CloseAll(true)
+	}
+	for d := time.Duration(0); by != server && (by == nobody && d < acceptAfterTerm || d < serveAfterTerm && l.conns.Count() > 0); d = time.Since(began) {
 		time.Sleep(lookAround)
 	}
-	l.callers.CloseAll()
+	l.callers.CloseAll(true)
 	err := l.conns.Finish()
 	<-l.served
 	return errors.Join(err, l.server.Close())
--- a/internal/sidecar/operators.go
+++ b/internal/sidecar/operators.go
@@ -14,17 +14,19 @@
 	"tuliprock/internal/admin"
 	"tuliprock/internal/config"
 	"tuliprock/internal/core"
+	"tuliprock/internal/handover"
 	"tuliprock/internal/metrics"
 )
 
 const (
-	mostBarred = 1024                   // ids that may be out by hand: far more than a list has, and some 100 kB
 	censusTime = 200 * time.Millisecond // a pool is given to tell its members; then what it told last stands
 )
 
 // hands is what operators have taken out by hand, for all pools that run. It outlives pools, lists and reloads.
 type hands struct {
-	turn chan struct{} // held by the call that is carried out
+	turn  chan struct{} // held by the call that is carried out
+	dir   *handover.Dir // what other processes know; nil: there are none
+	backs []string      // ids given back shortly before this process began; fixed before the first pool
 
 	mu     sync.Mutex
 	barred map[string]bool
@@ -45,6 +47,10 @@
 		for _, id := range out {
 			p.loop.Bar(now, id, true)
 		}
+		for _, id := range h.backs { // so that they count as cold here, too
+			p.loop.Bar(now, id, true)
+			p.loop.Bar(now, id, false)
+		}
 	})
 }
 
@@ -72,6 +78,13 @@
 	}
 }
 
+// out are the ids that are out.
+func (h *hands) out() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.barred))
+}
+
 // each has all pools handle an event, one after another.
 func each(ctx context.Context, pools []*pool, event func(l *core.Loop, now time.Duration)) error {
 	for _, p := range pools {
@@ -94,6 +107,9 @@
 	case <-ctx.Done():
 		return "", errUnconfirmed
 	}
+	if h.dir != nil {
+		h.follow(handover.LookOnly)
+	}
 	pools, was, n := h.running(id)
 	known := was
 	err := each(ctx, pools, func(l *core.Loop, _ time.Duration) { known = known || l.Knows(id) })
@@ -102,13 +118,18 @@
 		return "", errUnconfirmed
 	case !known:
 		return "", fmt.Errorf("%.260q: no endpoint of this id is listed", id)
-	case out && !was && n >= mostBarred:
+	case out && !was && n >= handover.MostBars:
 		return "", fmt.Errorf("%d endpoints are out already: no more can be", n)
 	}
 	h.note(id, out) // before the pools: one that joins meanwhile must have it
 	if err := each(ctx, pools, func(l *core.Loop, now time.Duration) { l.Bar(now, id, out) }); err != nil {
 		return "", errUnconfirmed
 	}
+	if h.dir != nil { // whatever was: the others may know otherwise
+		if err := h.dir.Bar(id, out, time.Now()); err != nil {
+			return "", fmt.Errorf("%s, but here alone, for other processes can't be told: %w", barred(id, was, out), err)
+		}
+	}
 	return barred(id, was, out), nil
 }
 
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -28,6 +28,7 @@
 	keeper   *discovery.Keeper
 	log      *slog.Logger
 
+	heard           atomic.Bool  // discovery has said something
 	listed, avoided atomic.Int64 // members, as the module told them last
 
 	mu     sync.Mutex
@@ -79,7 +80,7 @@
 }
 
 func (p *pool) deliver(m discovery.Members) {
-	p.loop.Post(func(now time.Duration) { p.loop.List(now, m) })
+	p.loop.Post(func(now time.Duration) { p.loop.List(now, m); p.heard.Store(true) })
 }
 
 func (p *pool) failed() { p.loop.Post(p.loop.DiscoveryFailed) }
@@ -113,7 +114,11 @@
 func (p *pool) newSource(s config.SourceSpec) discovery.Source {
 	switch {
 	case s.Agent != "":
-		d := discovery.New(s.Agent, s.Known.Version, p.spec.Settings.MustSubscribe, p.log)
+		version := s.Known.Version
+		if s.Anew {
+			version = nil
+		}
+		d := discovery.New(s.Agent, version, p.spec.Settings.MustSubscribe, p.log)
 		d.Deliver, d.Failed = p.deliver, p.failed
 		return d
 	case s.File != "":
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -478,7 +478,7 @@
 		if got := <-repeats; got != want {
 			t.Errorf("with %q believed: %v", header, got)
 		}
-		if err := s.drain(); err != nil {
+		if err := s.drain(nobody); err != nil {
 			t.Error(err)
 		}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,7 +43,9 @@
 	retired sync.WaitGroup // what a reload took out and has not ended yet
 	figures *metrics.Figures
 	hands   *hands
+	beside  *takeover   // nil: no other process can take over
 	ready   atomic.Bool // callers are taken
+	fixed   int         // descriptors besides connections of callers and to endpoints
 
 	mu        sync.Mutex // a reload holds it from its beginning to its end
 	ending    bool
@@ -53,6 +55,7 @@
 	running   map[*pool]bool       // in force, or taken out and not ended yet
 	admin     *admin.Server        // nil: operators call nowhere
 	adminAddr string               // as it was told
+	each      int                  // connections of callers, and to endpoints, where others share the limit; 0: as configured
 }
 
 // installed is a configuration that is, or was, in force.
@@ -74,10 +77,19 @@
 	if c.BodyMemory > 0 {
 		s.bodies = body.NewPool(c.BodyMemory)
 	}
+	s.fixed = c.Fixed()
+	s.beside = newTakeover(s, c, log)
 	if err := s.Reload(c); err != nil {
+		s.beside.end()
 		return nil, err
 	}
-	s.ready.Store(true)
+	if s.beside == nil {
+		s.ready.Store(true)
+		return s, nil
+	}
+	s.beside.look() // one that is alone begins at once
+	s.beside.looking = true
+	go s.beside.run()
 	return s, nil
 }
 
@@ -130,6 +142,9 @@
 		if p == nil || !p.goesOnAs(spec) {
 			p = newPool(s.decide, spec, s.bodies, s.figures, s.log.With("pool", spec.Name))
 			s.running[p] = true
+			if s.each > 0 {
+				p.upstream.SetMost(s.each)
+			}
 			s.hands.join(p)
 		}
 		p.users++
@@ -177,7 +192,11 @@
 			}
 			return nil, fmt.Errorf("listener %s: %w", spec.Name, err)
 		}
-		next[at] = newListener(spec, c.Name, socket, &s.current, s.bodies, s.figures, s.log)
+		l := newListener(spec, c.Name, socket, &s.current, s.bodies, s.figures, s.log)
+		if s.each > 0 {
+			l.limit(s.each)
+		}
+		next[at] = l
 	}
 	return next, nil
 }
@@ -198,7 +217,14 @@
 			}
 		}
 	}
-	return listen(spec.Address)
+	if spec.Descriptor == 0 {
+		return listen(spec.Address)
+	}
+	h, err := inherit(spec.Descriptor, spec.Address)
+	if err == nil && s.beside != nil { // its first look says whether callers are taken
+		h.Pause(true)
+	}
+	return h, err
 }
 
 // adopt puts the listeners of a configuration in the present ones' place. s.mu is held.
@@ -219,18 +245,22 @@
 	}
 	for at, l := range s.listeners {
 		if next[at] != l {
-			s.takeOut(l, next[at] != nil)
+			by := nobody
+			if next[at] != nil {
+				by = server
+			}
+			s.takeOut(l, by)
 		}
 	}
 	s.listeners = next
 }
 
 // takeOut drains a listener. s.mu is held.
-func (s *Sidecar) takeOut(l *listener, replaced bool) {
+func (s *Sidecar) takeOut(l *listener, by heir) {
 	s.leaving[l] = true
 	l.leaving.Store(true)
 	s.retired.Go(func() {
-		if err := l.drain(replaced); err != nil {
+		if err := l.drain(by); err != nil {
 			s.log.Warn("a listener did not end well", "listener", l.spec.Name, "err", err)
 		}
 		s.mu.Lock()
@@ -250,18 +280,24 @@
 	return out
 }
 
-// Serve serves until ctx ends and then until all that was taken has been answered.
+// Serve serves until ctx ends, or another process has taken over, and then until all that was taken has been answered.
 func (s *Sidecar) Serve(ctx context.Context) error {
+	defer s.beside.end()
+	var gone <-chan struct{}
+	if s.beside != nil {
+		gone = s.beside.gone
+	}
 	select {
 	case err := <-s.failed:
 		return err
+	case <-gone:
 	case <-ctx.Done():
 	}
-	return s.drain()
+	return s.drain(s.beside.leave())
 }
 
 // drain ends all listeners, and then the pools.
-func (s *Sidecar) drain() error {
+func (s *Sidecar) drain(by heir) error {
 	s.ready.Store(false)
 	s.mu.Lock()
 	s.ending = true
@@ -275,7 +311,7 @@
 	s.mu.Unlock()
 	errs := make(chan error, len(open))
 	for _, l := range open {
-		go func() { errs <- l.drain(false) }()
+		go func() { errs <- l.drain(by) }()
 	}
 	var all error
 	for range open {
--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tuliprock/internal/handover"
 )
 
 // socket is a listening socket that several servers may accept from, one after another: whoever waits in its queue must
@@ -19,6 +21,7 @@
 	mu      sync.Mutex
 	changed sync.Cond // of closing, or of a hold's closed
 	holds   int       // it is closed with the last one
+	paused  bool      // nobody is taken; a deadline in the past stands then, too
 	closing int       // holds whose Accept has yet to return: until then a deadline in the past stands
 }
 
@@ -35,9 +38,36 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &socket{l: l.(*net.TCPListener), holds: 1}
+	return newHold(l.(*net.TCPListener)), nil
+}
+
+// inherit is listen for a socket that the platform holds.
+func inherit(fd int, address string) (*hold, error) {
+	l, err := handover.Listener(fd, address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return newHold(l), nil
+}
+
+func newHold(l *net.TCPListener) *hold {
+	s := &socket{l: l, holds: 1}
 	s.changed.L = &s.mu
-	return &hold{socket: s}, nil
+	return &hold{socket: s}
+}
+
+// Pause keeps all Accepts from taking callers, who wait in the system's queue, until it is undone. One that has been
+// taken is still given out.
+func (s *socket) Pause(is bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = is
+	if is {
+		_ = s.l.SetDeadline(time.Unix(1, 0))
+	} else if s.closing == 0 {
+		_ = s.l.SetDeadline(time.Time{})
+	}
+	s.changed.Broadcast()
 }
 
 // share gives a further hold; ok is false if the socket is closed.
@@ -70,15 +100,15 @@
 	}
 }
 
-// lift waits until no other hold is about to close, and lifts the deadline by which that one's Accept was ended. Were it
+// lift waits until no other hold is about to close, and no pause stands, and lifts the deadline by which that one's Accept was ended. Were it
 // lifted earlier, that Accept might sleep on: it looks at the deadline only once it has woken up.
 func (h *hold) lift() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for h.closing > 0 && !h.closed.Load() {
+	for (h.closing > 0 || h.paused) && !h.closed.Load() {
 		h.changed.Wait()
 	}
-	if h.closing == 0 {
+	if h.closing == 0 && !h.paused {
 		_ = h.l.SetDeadline(time.Time{})
 	}
 }
@@ -105,7 +135,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closing--; h.closing == 0 {
+	if h.closing--; h.closing == 0 && !h.paused {
 		_ = h.l.SetDeadline(time.Time{})
 	}
 	h.changed.Broadcast()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -121,6 +121,14 @@
 		pools: map[string]*pool{}, barred: map[string]bool{}}
 }
 
+// SetMost changes how many connections may be open at once. Idle ones beyond it are closed.
+func (u *Client) SetMost(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.o.Most = most; u.open > most && u.evict(); {
+	}
+}
+
 // SetMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
 // to an endpoint that takes nothing new, are closed.
 func (u *Client) SetMember(id, addr string, keep bool) {
