Long bodies on the platform's listener too, up to 32 MB; absolute form

Only a 200 flows from the platform's endpoints. A target that comes as a whole URI goes on in origin form (RFC 9112, 3.2.2).

--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -81,7 +81,8 @@
 func rawRules(classes []balance.Class) (rules []route.Rule, targets []Target) {
 	for _, c := range classes {
 		class := &Class{Name: c.Name, Effect: effectName(c.Effect), IDHeader: "Req-Id", KeyHeader: "Idempotency-Key", TenantHeader: "Req-Owner",
-			DeadlineHeader: "Req-Deadline-Ms", RetryHeader: "Req-Retry", IDMissing: refuse, DeadlineMissing: refuse, DeadlineMost: mostDeadline, Methods: []string{"POST"}}
+			DeadlineHeader: "Req-Deadline-Ms", RetryHeader: "Req-Retry", IDMissing: refuse, DeadlineMissing: refuse, DeadlineMost: mostDeadline, Methods: []string{"POST"},
+			FlowMost: platformFlow}
 		if c.Effect == balance.Safe {
 			class.Methods, class.NoBody = []string{"GET"}, true
 		}
@@ -103,6 +104,19 @@
 
 const platformPool = "platform"
 
+// How bodies flow on the platform: up to 32 MB each way, from callers that may take 2 s for a head and keep up 64 kB a
+// second. Bad callers are owed an error or a close within 3 s of connecting.
+const (
+	platformBody     = 32 << 20
+	platformHead     = 2500 * time.Millisecond
+	platformShort    = 2500 * time.Millisecond // for a body that is held whole: 1 s at that rate, in pieces
+	platformRate     = 48 << 10                // three quarters of it: what is measured here is late and early by turns
+	platformIdle     = 5 * time.Second         // for which a peer may say nothing, or be behind
+	platformFlow     = 10 * time.Minute        // 32 MB at 64 kB a second take 8.5
+	platformBodyPart = 8                       // one of so many bytes of the memory is for bodies: two processes share the limit
+	platformDrain    = 3400 * time.Millisecond // SIGKILL comes no sooner than 3.7 s after SIGTERM
+)
+
 // What descriptors are kept for, of the platform's limit, besides connections of callers and to endpoints.
 const (
 	otherDescriptors = 24
@@ -129,8 +143,10 @@
 	}
 	l := defaultListener()
 	l.Name, l.Address, l.Connections, l.Forwarded, l.RetryAfter, l.Raw = platformPool, c.Listen, each, "leave", "fraction", true
+	l.HeadTimeout, l.BodyTimeout, l.BodyBytes, l.FlowIdle, l.FlowRate = platformHead, platformShort, platformBody, platformIdle, platformRate
 	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, LastByte: true, OnlyOK: true,
-		Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
+		AnswerBytes: platformBody, Flow: body.Pace{Idle: platformIdle}, Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
+	s.BodyMemory, s.Drain = c.Limits.MemoryMB<<20/platformBodyPart, platformDrain
 	if c.Descriptor > 0 { // others may have the same socket
 		l.Descriptor, pool.Source.Anew, s.Shared = c.Descriptor, true, c.Shared
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -145,12 +145,13 @@
 // endpoint: nobody knows what repeating it may do.
 func (s *Server) route(service *Service, r *http.Request) (*Target, string, *bad) {
 	m := route.Request{Method: r.Method, Header: r.Header, Host: route.Host(r.Host)}
+	raw := originForm(r.RequestURI)
 	var err error
 	switch {
-	case s.o.Raw && !isTarget(r.RequestURI):
+	case s.o.Raw && !isTarget(raw):
 		return nil, "", refusal(http.StatusBadRequest, "the target is no plain path")
 	case s.o.Raw:
-		m.Path, m.RawQuery, _ = strings.Cut(r.RequestURI, "?")
+		m.Path, m.RawQuery, _ = strings.Cut(raw, "?")
 	default:
 		if m.Path, m.RawQuery, err = route.Normalize(r.RequestURI); err != nil {
 			return nil, "", refusal(http.StatusBadRequest, "%w", err)
@@ -162,7 +163,7 @@
 	}
 	t := &service.Targets[i]
 	if s.o.Raw {
-		return t, r.RequestURI, nil
+		return t, raw, nil
 	}
 	target := t.rewrite(m.Path)
 	if strings.Contains(r.RequestURI, "?") {
@@ -183,6 +184,22 @@
 	return t.Replace + rest
 }
 
+// originForm is a target in origin form, where it came as a whole URI (RFC 9112, 3.2.2); others are given as they are.
+func originForm(target string) string {
+	const scheme = "http://"
+	if len(target) < len(scheme) || !strings.EqualFold(target[:len(scheme)], scheme) {
+		return target
+	}
+	rest := target[len(scheme):]
+	if i := strings.IndexAny(rest, "/?"); i < 0 {
+		return "/"
+	} else if rest[i] == '?' {
+		return "/" + rest[i:]
+	} else {
+		return rest[i:]
+	}
+}
+
 // isTarget tells whether a request's target is a path that can go on to an endpoint as it is.
 func isTarget(target string) bool {
 	return strings.HasPrefix(target, "/") && !strings.ContainsFunc(target, func(c rune) bool { return c <= ' ' || c > '~' })
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -230,7 +230,7 @@
 
 // isLong tells whether an answer's body flows. Errors of endpoints never do: another attempt may follow.
 func (x *exchange) isLong(resp *http.Response) bool {
-	return x.u.o.Pool != nil && x.watch.Begun != nil && !hasNoBody(x.m.Method, resp) && isAnswer(resp.StatusCode) &&
+	return x.u.o.Pool != nil && x.watch.Begun != nil && !hasNoBody(x.m.Method, resp) && x.u.isAnswer(resp.StatusCode) &&
 		(resp.ContentLength > MaxBody || resp.ContentLength < 0)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -498,7 +498,7 @@
 	reusable = !resp.Close && x.c.read.Buffered() == 0
 	a = Answer{Status: resp.StatusCode, Header: resp.Header, Body: text}
 	switch {
-	case resp.StatusCode == http.StatusOK, !onlyOK && isAnswer(resp.StatusCode):
+	case x.u.isAnswer(resp.StatusCode):
 		return balance.OK, a, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
 		return balance.Full, Answer{}, reusable
@@ -509,8 +509,8 @@
 }
 
 // isAnswer tells whether a status is what the endpoint makes of the request, and not its own failure.
-func isAnswer(status int) bool {
-	return status < http.StatusInternalServerError && !isPromise(status)
+func (u *Client) isAnswer(status int) bool {
+	return status == http.StatusOK || !u.o.OnlyOK && status < http.StatusInternalServerError && !isPromise(status)
 }
 
 // isPromise tells whether a caller would take a status for the promise that nothing has run. An endpoint's word is not
