--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -37,6 +37,9 @@
 	crowded     = 1.6                    // stretch of recent answers from which it shrinks
 	roomGrowth  = 0.2                    // it grows by this with each answer while it is used up,
 	roomy       = 1.5                    // times what the stretch is short of this
+	frontGrowth = 2.0                    // and so many times at the front, where callers are spread unevenly,
+	calmly      = 1.3                    // while the stretch is under this
+	wary        = 1.2                    // stretch from which room in use is pressure
 	roomSample  = 3.0                    // stretch that one answer can show here
 	overRoom    = 0.6                    // share of the room up to which over-share requests are let in
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
@@ -217,7 +220,8 @@
 	b.requests[r.ID], b.live = q, append(b.live, q)
 	b.budget = min(b.budget+resendShare, resendMost)
 	over := b.overShare(now, q)
-	pressed := len(b.waiting) > 0 || float64(b.out) > overRoom*b.room || b.rate(now) > allShares*b.quota
+	used := float64(b.out) > overRoom*b.room && b.stretch > wary
+	pressed := len(b.waiting) > 0 || used || b.rate(now) > allShares*b.quota
 	if now >= q.giveUp || b.shut() || pressed && over || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
 		b.end(now, q)
 		return
@@ -259,7 +263,11 @@
 		b.room = max(min(b.room, float64(b.out+1))*max(roomCut, crowded/b.stretch), b.share())
 		b.cutAt = now + seconds(b.stretch*b.typical()/2)
 	case float64(b.out+2) > b.room:
-		b.room += roomGrowth * max(roomy-b.stretch, 0)
+		growth := roomGrowth
+		if b.s.Tier == 0 && b.stretch < calmly {
+			growth *= frontGrowth
+		}
+		b.room += growth * max(roomy-b.stretch, 0)
 	}
 }
 
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -633,6 +633,61 @@
 	}
 }
 
+// most keeps more calls wanted than there is room for, all answered after 100 ms, and tells how many were out at once.
+func (r *rig) most(long time.Duration) (most int) {
+	var out []string
+	seen := 0
+	for begun := r.now; r.now < begun+long; r.wait(ms) {
+		for len(out) > 0 && r.now >= r.sentAt[out[0]]+100*ms {
+			r.end(out[0], balance.OK)
+			out = out[1:]
+		}
+		if r.n%2 == 0 || r.now%(3*ms) == 0 {
+			r.call("read")
+		}
+		for ; seen < len(r.did); seen++ {
+			if f := strings.Fields(r.did[seen]); f[0] == "send" {
+				out = append(out, f[1])
+			}
+		}
+		most = max(most, len(out))
+	}
+	return most
+}
+
+// On calm days of the fleet a sixth of the calls was refused at the front, while answers took what they always take: callers
+// come unevenly, and a sidecar that gets several times the mean must soon have room for it.
+func TestTheFrontSoonHasRoomWhereAnswersAreCalm(t *testing.T) {
+	grown := func(tier int) int {
+		s := basic()
+		s.Tier = tier
+		return newRig(t, s, "a", "b").most(900 * ms)
+	}
+	front, below := grown(0), grown(1)
+	if front < below+(below-12)/2 { // both begin with 12
+		t.Errorf("after 0.9 s %d calls are out from the front, %d from a tier below", front, below)
+	}
+}
+
+// Room in use is no pressure while answers take what they always take: what is over a tenant's share may use the rest.
+func TestOverShareMayUseCalmRoom(t *testing.T) {
+	for stretch, refused := range map[time.Duration]bool{1: false, 3: true} {
+		s := basic()
+		s.Tenants = []balance.Tenant{{Name: "t", Quota: 1}, {Name: "u", Quota: 1e6}}
+		r := newRig(t, s, "a", "b")
+		r.warm(100, map[string]time.Duration{"a": 100 * ms, "b": 100 * ms})
+		r.warm(30, map[string]time.Duration{"a": stretch * 100 * ms, "b": stretch * 100 * ms})
+		sent := 0
+		for r.count("refuse") == 0 && sent < 11 { // of a room of 12 at least
+			r.ask("read", "t")
+			sent++
+		}
+		if got := r.count("refuse") > 0; got != refused {
+			t.Errorf("answers stretch by %d: after %d calls over the share, refused %v", stretch, sent, got)
+		}
+	}
+}
+
 // At the start of the standard days the first answers are those of the smallest calls. Taken for calm, they made
 // every later answer look late, and calls were refused with room to spare.
 func TestQuickFirstAnswersDoNotPassForCalm(t *testing.T) {
