--- a/internal/sidecar/platform_test.go
+++ b/internal/sidecar/platform_test.go
@@ -183,3 +183,31 @@
 		t.Errorf("%d bytes stay", grown)
 	}
 }
+
+// Seen on a day of long answers that come in pieces: the limit of time for short ones stood while the beginning was held
+// back, and 28 answers were cut off that their endpoints were still giving.
+func TestALongAnswerMayComeSlowly(t *testing.T) {
+	big := strings.Repeat("z", 100<<10)
+	for name, head := range map[string]string{
+		"a length": fmt.Sprintf("Content-Length: %d\r\n\r\n", len(big)), "chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(big)), "a close": "Connection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+head)
+				for part := 0; part < len(big); part += 10 << 10 { // the first window alone takes longer than short answers may
+					time.Sleep(100 * time.Millisecond)
+					_, _ = io.WriteString(nc, big[part:part+10<<10])
+				}
+				if name == "chunks" {
+					_, _ = io.WriteString(nc, "\r\n0\r\n\r\n")
+				}
+				return name != "a close"
+			})
+			s := run(t, e.Addr)
+			if status, body, _ := ask(t, s.request(t, http.MethodPost, "/pay", "1", 8000)); status != http.StatusOK || body != big {
+				t.Errorf("%d, %d bytes", status, len(body))
+			}
+		})
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -324,6 +324,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.held < len(s.window) && s.err == nil && !s.claimed.Load() {
+		_ = s.c.SetReadDeadline(time.Now().Add(s.meter.Wait())) // in place of that for what is held whole
 		s.read()
 	}
 }
