--- a/cmd/tuliprock/handover_test.go
+++ b/cmd/tuliprock/handover_test.go
@@ -30,6 +30,7 @@
 	names     []string
 	endpoints []*testpeer.Endpoint
 	starts    int
+	silent    bool // discovery accepts calls and answers none
 
 	mu   sync.Mutex
 	came map[string]int // requests by id
@@ -53,12 +54,19 @@
 			p.mu.Lock()
 			p.came[r.Header.Get("Req-Id")]++
 			p.mu.Unlock()
+			if strings.HasPrefix(r.URL.Path, "/look/long") {
+				return p.slowly(nc)
+			}
 			time.Sleep(2 * time.Millisecond) // its work
 			_, err := io.WriteString(nc, testpeer.Served)
 			return err == nil
 		}))
 	}
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.silent {
+			<-r.Context().Done()
+			return
+		}
 		if r.URL.Query().Get("watch") == "" {
 			_, _ = io.WriteString(w, p.list())
 			return
@@ -74,6 +82,19 @@
 	return p
 }
 
+const longParts = 40
+
+// slowly gives a long answer over some 1.2 s.
+func (p *stage) slowly(nc net.Conn) bool {
+	part := strings.Repeat("z", 32<<10)
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longParts*len(part))
+	for i := 0; i < longParts && err == nil; i++ {
+		time.Sleep(30 * time.Millisecond)
+		_, err = io.WriteString(nc, part)
+	}
+	return err == nil
+}
+
 func (p *stage) list() string {
 	var members []string
 	for i, e := range p.endpoints {
@@ -93,8 +114,12 @@
 	p.starts++
 	out := &process{admin: testpeer.FreePort(p.t)}
 	// The list that it is started with is old: it names nobody.
-	config := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":%q,"discovery":%q,"seed":"7","limits":{"cores":1,"memory_mb":64,"sockets":384},"known":%s,"settings":%s}`,
-		p.addr, out.admin, p.discovery, testpeer.Members(1, true), `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000}],"Permissions":{"TryLimit":4,"RetryAfter":true}}`)
+	known := testpeer.Members(1, true)
+	if p.silent {
+		known = p.list()
+	}
+	config := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":%q,"discovery":%q,"seed":"7","limits":{"cores":1,"memory_mb":96,"sockets":512},"known":%s,"settings":%s}`,
+		p.addr, out.admin, p.discovery, known, `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000}],"Permissions":{"TryLimit":4,"RetryAfter":true}}`)
 	path := filepath.Join(p.t.TempDir(), fmt.Sprint(p.starts, ".json"))
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		p.t.Fatal(err)
@@ -272,6 +297,118 @@
 	second.exits(t)
 }
 
+// SIGHUP to both, and long answers under way, in the middle of a hand-over: all come whole, and the old process waits for them.
+func TestLongAnswersOutliveAHandover(t *testing.T) {
+	p := newStage(t, 2)
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	var work sync.WaitGroup
+	for i := range 6 {
+		work.Go(func() {
+			r, _ := http.NewRequest(http.MethodGet, "http://"+p.addr+"/look/long", nil)
+			r.Header.Set("Req-Id", fmt.Sprint("long-", i))
+			r.Header.Set("Req-Deadline-Ms", "5000")
+			resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != longParts*32<<10 {
+				t.Errorf("%d bytes, %v", n, err)
+			}
+		})
+	}
+	testpeer.Until(t, "all are under way", func() bool { return p.endpoints[0].Requests.Load()+p.endpoints[1].Requests.Load() == 6 })
+	second := p.start()
+	first.signal(t, syscall.SIGHUP)
+	second.says(t, "check", "SUCCESS")
+	second.signal(t, syscall.SIGHUP)
+	first.signal(t, syscall.SIGTERM)
+	first.exits(t)
+	work.Wait()
+	callers := p.load(3)
+	callers.more(t, 20)
+	p.end(callers)
+	second.signal(t, syscall.SIGTERM)
+	second.exits(t)
+}
+
+// Where discovery is silent a newcomer goes by the list that it was started with, after a while; one that is told to end
+// before has taken nobody.
+func TestAHandoverBesideASilentDiscovery(t *testing.T) {
+	p := newStage(t, 1)
+	p.silent = true
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	callers := p.load(3)
+	callers.more(t, 20)
+	second := p.start()
+	testpeer.Until(t, "the second one listens to operators", func() bool { return strings.HasPrefix(second.call(t, "check"), "FAILURE") })
+	second.signal(t, syscall.SIGTERM)
+	second.exits(t)
+	first.says(t, "check", "SUCCESS")
+	callers.more(t, 20)
+	third := p.start()
+	third.says(t, "check", "SUCCESS")
+	first.signal(t, syscall.SIGTERM)
+	first.exits(t)
+	callers.more(t, 20)
+	p.end(callers)
+}
+
+// Thousands of callers that connect and stop half way keep nobody out: operators, and callers that ask, are answered, and
+// the daemon keeps to its descriptors.
+func TestHalfOpenCallersKeepNobodyOut(t *testing.T) {
+	const limit, half = 512, 2000
+	p := newStage(t, 1)
+	d := p.start()
+	d.says(t, "check", "SUCCESS")
+	var open []net.Conn
+	defer func() {
+		for _, nc := range open {
+			nc.Close()
+		}
+	}()
+	answered := func(line, want string) {
+		t.Helper()
+		began := time.Now()
+		if got := d.call(t, line); !strings.HasPrefix(got, want) {
+			t.Errorf("%s with %d half open: %q", line, len(open), got)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%s with %d half open: answered after %v", line, len(open), took)
+		}
+	}
+	for i := range half {
+		nc, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, nc)
+		_, _ = io.WriteString(nc, []string{"", "GET /look HTTP/1.1\r\nReq-", "GET"}[i%3])
+		if i%400 != 399 {
+			continue
+		}
+		answered("check", "SUCCESS")
+		answered("vars", "edge_router.")
+		r, _ := http.NewRequest(http.MethodGet, "http://"+p.addr+"/look", nil)
+		r.Header.Set("Req-Id", fmt.Sprint("real-", i))
+		r.Header.Set("Req-Deadline-Ms", "20000")
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+			t.Errorf("a caller that asks, with %d half open: %d", len(open), resp.StatusCode)
+		}
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid))
+		if err != nil || len(files) > limit {
+			t.Errorf("%d descriptors of %d, %v", len(files), limit, err)
+		}
+	}
+}
+
 // A descriptor that is not the socket at the listen address is told in one line, and nothing starts.
 func TestAWrongDescriptor(t *testing.T) {
 	p := newStage(t, 1)
