--- a/cmd/tuliprock/check.go
+++ b/cmd/tuliprock/check.go
@@ -88,6 +88,9 @@
 	for _, l := range f.Listener {
 		fmt.Fprintf(t, "listener\t%s\t%s\tup to %d connections, bodies of %d bytes\n", l.Name, l.Address, l.Connections, l.BodyBytes)
 	}
+	if f.Daemon.AdminAddr != "" {
+		fmt.Fprintf(t, "operators\t\t%s\tcheck, vars, set-down ID, set-up ID\n", f.Daemon.AdminAddr)
+	}
 	for _, c := range f.Class {
 		fmt.Fprintf(t, "class\t%s\t%s\twanted within %v, given up after %v where a request does not say\n", c.Name, c.Effect, c.Aim, c.Deadline)
 	}
--- a/internal/sidecar/operators.go
+++ b/internal/sidecar/operators.go
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// errUnknown is why nothing was done.
+var errUnknown = errors.New("no endpoint of this id is listed")
+
 // errUnconfirmed is a call that may yet be carried out.
 var errUnconfirmed = errors.New("not confirmed in time; call again")
 
@@ -117,7 +120,7 @@
 	case err != nil:
 		return "", errUnconfirmed
 	case !known:
-		return "", fmt.Errorf("%.260q: no endpoint of this id is listed", id)
+		return "", fmt.Errorf("%.260q: %w", id, errUnknown)
 	case out && !was && n >= handover.MostBars:
 		return "", fmt.Errorf("%d endpoints are out already: no more can be", n)
 	}
@@ -167,6 +170,20 @@
 	return listed, avoided
 }
 
+// bar is hands.bar, with a line in the log. Operators call a few times a day; a line for each that changes nothing because
+// its id is unknown would be anybody's to fill the log with.
+func (s *Sidecar) bar(ctx context.Context, id string, out bool) (string, error) {
+	said, err := s.hands.bar(ctx, id, out)
+	switch {
+	case errors.Is(err, errUnknown):
+	case err != nil:
+		s.log.Warn("operators' call", "id", id, "out", out, "err", err)
+	default:
+		s.log.Info("operators' call", "id", id, "out", out, "said", said)
+	}
+	return said, err
+}
+
 // vars writes the figures.
 func (s *Sidecar) vars(ctx context.Context, w io.Writer) error {
 	listed, avoided := s.hands.census(ctx)
@@ -182,7 +199,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
-	a := admin.New(l, c.Operators, admin.Daemon{Ready: s.ready.Load, Vars: s.vars, Bar: s.hands.bar}, s.log)
+	a := admin.New(l, c.Operators, admin.Daemon{Ready: s.ready.Load, Vars: s.vars, Bar: s.bar}, s.log)
 	go a.Serve()
 	return a, nil
 }
