--- a/cmd/tuliprock/command.go
+++ b/cmd/tuliprock/command.go
@@ -17,6 +17,7 @@
 // commands is the command line.
 type commands struct {
 	Rehearse rehearseCommand `cmd:"" help:"Play a day on this machine, with stand-ins and real sidecars, and say whether each rule held."`
+	Fleet    fleetCommand    `cmd:"" help:"Play a fleet of hundreds of sidecars in virtual time, and say whether each rule held."`
 	Serve    serveCommand    `cmd:"" help:"Serve as an operators' file says, until SIGTERM. SIGHUP reads the file again."`
 	Check    checkCommand    `cmd:"" help:"Check an operators' file, and say what was understood."`
 	Load     loadCommand     `cmd:"" help:"Send load on an open-loop schedule, and count latency from when each request was due."`
--- /dev/null
+++ b/cmd/tuliprock/fleet.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"tuliprock/internal/core"
+	"tuliprock/internal/fleet"
+	"tuliprock/internal/plain"
+)
+
+type fleetCommand struct {
+	Troubles []string      `arg:"" optional:"" help:"What goes wrong: calm, roll, herd, zone, split, join; none: each of them, one day after another."`
+	Sidecars int           `default:"300" help:"Sidecars of all tiers together."`
+	Seed     uint64        `default:"1" help:"The same seed draws the same day."`
+	Length   time.Duration `default:"20s" help:"For how long requests are asked for, in virtual time."`
+	Use      float64       `default:"0.6" help:"Of what the fleet can do, by the work that is asked for."`
+	Against  string        `placeholder:"NAME" help:"A plain picker in the module's place: random, round-robin, least-outstanding."`
+	JSON     string        `name:"json" placeholder:"FILE" help:"Write the results as JSON; -: standard output."`
+}
+
+// Help implements kong's HelpProvider.
+func (c *fleetCommand) Help() string {
+	return "Exit code 0: every rule held; 1: one was broken; 2: nothing was played."
+}
+
+// Run implements kong's command.
+func (c *fleetCommand) Run() error {
+	decide := core.Module
+	if c.Against != "" {
+		var err error
+		if decide, err = plain.New(c.Against); err != nil {
+			return err
+		}
+	}
+	if len(c.Troubles) == 0 {
+		c.Troubles = fleet.Troubles()
+	}
+	results, err := c.play(decide)
+	if err != nil {
+		return err
+	}
+	held := true
+	for _, r := range results {
+		held = held && r.Rules.Held()
+		if c.JSON == "-" {
+			continue
+		}
+		if err := r.Tell(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if err := c.write(results); err != nil {
+		return err
+	}
+	if !held {
+		return verdict{errors.New("a rule was broken")}
+	}
+	return nil
+}
+
+// play plays the days side by side: each is one goroutine's, and knows nothing of the others.
+func (c *fleetCommand) play(decide core.Decider) ([]*fleet.Result, error) {
+	results, errs := make([]*fleet.Result, len(c.Troubles)), make([]error, len(c.Troubles))
+	var days sync.WaitGroup
+	for i, trouble := range c.Troubles {
+		days.Go(func() {
+			results[i], errs[i] = fleet.PlayWith(decide, fleet.Day{Seed: c.Seed, Sidecars: c.Sidecars, Trouble: trouble, Length: c.Length, Use: c.Use})
+		})
+	}
+	days.Wait()
+	return results, errors.Join(errs...)
+}
+
+func (c *fleetCommand) write(results []*fleet.Result) error {
+	if c.JSON == "" {
+		return nil
+	}
+	text, err := json.Marshal(struct {
+		Format int             `json:"format"`
+		Days   []*fleet.Result `json:"days"`
+	}{1, results})
+	if err != nil {
+		return err
+	}
+	text = append(text, '\n')
+	if c.JSON == "-" {
+		_, err = io.WriteString(os.Stdout, string(text))
+		return err
+	}
+	return os.WriteFile(c.JSON, text, 0o644)
+}
--- /dev/null
+++ b/internal/fleet/day.go
@@ -0,0 +1,97 @@
+// Package fleet plays a fleet of hundreds of sidecars in virtual time: the decision module itself, one balancer for each
+// sidecar, before models of endpoints, in one process and with no clock but its own. What does no harm in one sidecar and
+// does in three hundred shows here in seconds, and the same each time.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Day says what is played.
+type Day struct {
+	Seed     uint64
+	Sidecars int           // of all tiers together
+	Trouble  string        // one of Troubles
+	Length   time.Duration // requests are asked for so long
+	Use      float64       // of what the fleet can do, by the work that is asked for on the mean
+}
+
+// Troubles are what may happen, in the order in which they are told.
+func Troubles() []string { return []string{"calm", "roll", "herd", "zone", "split", "join"} }
+
+// What bounds a Day: below, there are no tiers to speak of; above, a play takes minutes.
+const (
+	leastSidecars, mostSidecars = 20, 2000
+	mostLength                  = 5 * time.Minute
+)
+
+// Check says what is wrong with a Day.
+func (d Day) Check() error {
+	switch {
+	case !slices.Contains(Troubles(), d.Trouble):
+		return fmt.Errorf("trouble: %q is none of %s", d.Trouble, strings.Join(Troubles(), ", "))
+	case d.Sidecars < leastSidecars || d.Sidecars > mostSidecars:
+		return fmt.Errorf("sidecars: from %d to %d", leastSidecars, mostSidecars)
+	case d.Length <= 0 || d.Length > mostLength:
+		return fmt.Errorf("length: over 0, and %v at most", mostLength)
+	case d.Use <= 0 || d.Use > 2:
+		return errors.New("use: over 0, and 2 at most")
+	}
+	return nil
+}
+
+// A class of requests. The figures are the shire's, in the middle of what its brief gives.
+type class struct {
+	name          string
+	keyed         bool
+	share         float64
+	work          float64 // seconds of work on a core at yardstick speed, in all tiers
+	aim, deadline time.Duration
+	worth         float64
+}
+
+var classes = []class{
+	{"item-lookup", false, 0.75, 0.10, 2 * time.Second, 5 * time.Second, 5},
+	{"bag-dispatch", true, 0.25, 0.31, 2500 * time.Millisecond, 6 * time.Second, 3},
+}
+
+// tiers are how a request's work is spread, from the front down.
+var tiers = []struct {
+	work  float64 // share of a class's work, for each call
+	size  float64 // endpoints, in those of the first tier
+	calls int     // to the tier below, one after another
+}{{0.39, 1, 2}, {0.33, 2, 1}, {0.28, 1.55, 0}}
+
+const (
+	keyWindow    = 10 * time.Second
+	maxAttempts  = 4
+	coldFrom     = 0.31
+	coldFor      = 9 * time.Second
+	fallMultiple = 4
+	fallAfter    = 3 * time.Second
+	fallSlack    = 0.25 // for chance, as in rehearsals
+	drainGrace   = 500 * time.Millisecond
+	slack        = 50 * time.Millisecond
+	cellSize     = 4
+	zones        = 3
+
+	cores        = 2
+	slots        = 24                     // requests that an endpoint holds in work
+	queue        = 12                     // and that wait
+	wire         = 500 * time.Microsecond // one way
+	handshake    = 1500 * time.Microsecond
+	connections  = 40 // that an endpoint takes: few
+	idleFor      = 15 * time.Second
+	frontShare   = 1.0 / 6 // of the sidecars
+	unevenness   = 3.0     // times the mean that the busiest front sidecar sees
+	clientRetry  = 100 * time.Millisecond
+	clientTries  = 3
+	listedAfter  = 800 * time.Millisecond // mean time until a sidecar hears of a change
+	slowBy       = 4.0
+	partBad      = 1.0 / 8
+	patienceOver = 500 * time.Millisecond // after a request's time: by then it is lost
+)
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprock/balance"
+	"tuliprock/internal/core"
+	"tuliprock/internal/referee"
+)
+
+// small is a day that takes a second or two under the race detector.
+func small(trouble string) Day {
+	return Day{Seed: 3, Sidecars: 40, Trouble: trouble, Length: 14 * time.Second, Use: 0.6}
+}
+
+func play(t *testing.T, decide core.Decider, d Day) *Result {
+	t.Helper()
+	r, err := PlayWith(decide, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The module keeps the rules in a fleet, whatever happens, and the same day ends the same.
+func TestTheModuleKeepsTheRulesInAFleet(t *testing.T) {
+	tested := [4]bool{}
+	for _, trouble := range Troubles() {
+		t.Run(trouble, func(t *testing.T) {
+			r := play(t, core.Module, small(trouble))
+			if !r.Rules.Held() {
+				var b strings.Builder
+				_ = r.Tell(&b)
+				t.Error(b.String())
+			}
+			if r.Asked < 500 || r.InTime+r.Late+r.Refused+r.Failed+r.Lost != r.Asked {
+				t.Errorf("%d asked, %d in time, %d late, %d refused, %d failed, %d lost", r.Asked, r.InTime, r.Late, r.Refused, r.Failed, r.Lost)
+			}
+			for i, rule := range r.Rules.Rules {
+				tested[i] = tested[i] || rule.Verdict != referee.Untested
+			}
+			if again := play(t, core.Module, small(trouble)); !reflect.DeepEqual(r, again) {
+				t.Error("the same day ends in another way")
+			}
+		})
+	}
+	for i, was := range tested {
+		if !was {
+			t.Errorf("rule %d was not put to the test on any day", i+1)
+		}
+	}
+}
+
+// A calm day at three fifths of what the fleet can do is served nearly whole, and each call is made once.
+func TestACalmDayIsServed(t *testing.T) {
+	r := play(t, core.Module, small("calm"))
+	if r.Share() < 0.97 {
+		t.Errorf("%.3f of the worth is served in time", r.Share())
+	}
+	for tier := range tiers {
+		if a := r.Amplification(tier); a < 0.95 || a > 1.02 {
+			t.Errorf("tier %d: %.2f attempts for each that is needed", tier, a)
+		}
+	}
+}
+
+// deaf is the module, but hears its first list only.
+type deaf struct {
+	balance.Events
+	heard bool
+}
+
+func (d *deaf) EndpointList(now time.Duration, l balance.List) {
+	if !d.heard {
+		d.heard = true
+		d.Events.EndpointList(now, l)
+	}
+}
+
+// eager sends all that it has to the endpoint that started last.
+type eager struct {
+	balance.Events
+	host   balance.Host
+	newest balance.Endpoint
+}
+
+func (e *eager) EndpointList(now time.Duration, l balance.List) {
+	for _, in := range l.Entries {
+		if in.State == balance.Ready && in.Started >= e.newest.Started {
+			e.newest = in
+		}
+	}
+}
+
+func (e *eager) Request(now time.Duration, r balance.Request) {
+	e.host.Send(r.ID, e.newest.ID, r.Deadline-now)
+}
+
+func (e *eager) Outcome(_ time.Duration, o balance.Outcome) {
+	if !o.Final && o.Result != balance.OK {
+		e.host.Fail(o.ID)
+	}
+}
+
+func (e *eager) Timer(time.Duration) {}
+
+// silent takes requests and never answers.
+type silent struct{ balance.Events }
+
+func (silent) Request(time.Duration, balance.Request) {}
+
+// twice sends what may have run once more, anywhere.
+type twice struct {
+	balance.Events
+	host  balance.Host
+	ids   []string
+	sends map[string]int
+}
+
+func (b *twice) EndpointList(_ time.Duration, l balance.List) {
+	for _, in := range l.Entries {
+		if in.State == balance.Ready {
+			b.ids = append(b.ids, in.ID)
+		}
+	}
+}
+
+func (b *twice) Request(now time.Duration, r balance.Request) { b.send(r.ID) }
+
+func (b *twice) send(id string) {
+	b.sends[id]++
+	b.host.Send(id, b.ids[(len(id)+b.sends[id]*7+int(id[len(id)-1]))%len(b.ids)], 300*time.Millisecond)
+}
+
+func (b *twice) Outcome(_ time.Duration, o balance.Outcome) {
+	switch {
+	case o.Final || o.Result == balance.OK:
+	case b.sends[o.ID] < maxAttempts:
+		b.send(o.ID)
+	default:
+		b.host.Fail(o.ID)
+	}
+}
+
+func (b *twice) Timer(time.Duration) {}
+
+// Each rule is seen broken where it is.
+func TestBadDecidersAreSeen(t *testing.T) {
+	for _, row := range []struct {
+		name, trouble string
+		rule          int
+		decide        core.Decider
+	}{
+		{"one that answers nothing", "calm", 1, func(now time.Duration, s balance.Settings, h balance.Host) balance.Events {
+			return silent{core.Module(now, s, h)}
+		}},
+		{"one that sends twice", "split", 2, func(_ time.Duration, _ balance.Settings, h balance.Host) balance.Events {
+			return &twice{host: h, sends: map[string]int{}}
+		}},
+		{"one that hears nothing", "join", 3, func(now time.Duration, s balance.Settings, h balance.Host) balance.Events {
+			return &deaf{Events: core.Module(now, s, h)}
+		}},
+		{"one that floods what is cold", "join", 4, func(_ time.Duration, _ balance.Settings, h balance.Host) balance.Events { return &eager{host: h} }},
+	} {
+		r := play(t, row.decide, small(row.trouble))
+		if got := r.Rules.Rules[row.rule-1].Verdict; got != referee.Broken {
+			t.Errorf("%s: rule %d is %s", row.name, row.rule, got)
+		}
+	}
+}
+
+func TestDaysAreChecked(t *testing.T) {
+	good := small("calm")
+	for field, spoil := range map[string]func(*Day){
+		"trouble": func(d *Day) { d.Trouble = "storm" }, "sidecars": func(d *Day) { d.Sidecars = 3 }, "length": func(d *Day) { d.Length = 0 }, "use": func(d *Day) { d.Use = -1 },
+	} {
+		d := good
+		spoil(&d)
+		if _, err := Play(d); err == nil || !strings.HasPrefix(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
