--- a/cmd/tuliprock/handover_test.go
+++ b/cmd/tuliprock/handover_test.go
@@ -416,6 +416,80 @@
 	}
 }
 
+// descriptors counts what a process has open; 0: it has ended.
+func (p *process) descriptors() int {
+	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(files)
+}
+
+// A process is replaced in the middle of a crowd that connects and stops half way, with callers that ask beside it: both
+// processes together keep to the limit on descriptors, and nobody who asks is lost.
+func TestAHandoverInACrowd(t *testing.T) {
+	const limit = 512
+	p := newStage(t, 2)
+	first := p.start()
+	first.says(t, "check", "SUCCESS")
+	callers := p.load(4)
+	callers.more(t, 20)
+	ctx, stop := context.WithCancel(t.Context())
+	var crowd sync.WaitGroup
+	for range 8 {
+		crowd.Go(func() {
+			var open []net.Conn
+			for i := 0; ctx.Err() == nil; i++ {
+				nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
+				if err != nil {
+					break
+				}
+				_, _ = io.WriteString(nc, []string{"", "GET /look HTTP/1.1\r\nReq-"}[i%2])
+				if open = append(open, nc); len(open) > 100 {
+					open[0].Close()
+					open = open[1:]
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			for _, nc := range open {
+				nc.Close()
+			}
+		})
+	}
+	most := 0
+	watched := make(chan struct{})
+	var others []*process
+	var mu sync.Mutex
+	go func() {
+		defer close(watched)
+		for ctx.Err() == nil {
+			sum := 0
+			mu.Lock()
+			for _, d := range append([]*process{first}, others...) {
+				sum += d.descriptors()
+			}
+			mu.Unlock()
+			most = max(most, sum)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	testpeer.Until(t, "the crowd fills the first process", func() bool { return first.descriptors() > 200 })
+	second := p.start()
+	mu.Lock()
+	others = append(others, second)
+	mu.Unlock()
+	second.says(t, "check", "SUCCESS")
+	first.signal(t, syscall.SIGTERM)
+	first.exits(t)
+	callers.more(t, 50)
+	stop()
+	crowd.Wait()
+	<-watched
+	p.end(callers)
+	if most > limit {
+		t.Errorf("%d descriptors of %d at once", most, limit)
+	}
+	second.signal(t, syscall.SIGTERM)
+	second.exits(t)
+}
+
 // Long bodies both ways at once stay under the daemon's memory, and come whole. BODIES=50x32 sets how many, of how many
 // MB; small figures are for every day.
 func TestLongBodiesStayUnderTheMemory(t *testing.T) {
--- a/internal/sidecar/operators_test.go
+++ b/internal/sidecar/operators_test.go
@@ -342,3 +342,38 @@
 		return err != nil
 	})
 }
+
+// What is given back while it drains, or is listed no more, gets nothing until discovery says otherwise.
+func TestAnEndpointIsGivenBackThatIsNotReady(t *testing.T) {
+	a := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	b := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	s := runWithin(t, "{}", []func(*config.Service){withAdmin}, a.Addr, b.Addr)
+	n := 0
+	burst := func(what string) {
+		t.Helper()
+		for range 20 {
+			n++
+			if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", fmt.Sprint(n), 8000)); status != http.StatusOK {
+				t.Fatalf("%s: %d", what, status)
+			}
+		}
+		if got := a.Requests.Load(); got > 0 {
+			t.Errorf("%s: %d requests came", what, got)
+		}
+	}
+	s.operate(t, "set-down a")
+	s.tell(t, testpeer.Members(2, false, testpeer.Member("a", a.Addr, "Terminating")))
+	if got := s.operate(t, "set-up a"); got != "SUCCESS a is back\n" {
+		t.Errorf("while it drains: %q", got)
+	}
+	burst("given back while it drains")
+	s.operate(t, "set-down a")
+	s.tell(t, testpeer.Members(3, true, testpeer.Member("b", b.Addr, "Ready")))
+	if got := s.operate(t, "set-up a"); got != "SUCCESS a is back\n" {
+		t.Errorf("while it is listed no more: %q", got)
+	}
+	burst("given back while it is listed no more")
+	if got := s.operate(t, "set-up a"); !strings.HasPrefix(got, "FAILURE") {
+		t.Errorf("once it is neither listed nor out: %q", got)
+	}
+}
