A call back grows old: a process that begins long after takes no endpoint for cold

Found when the change was read again: calls back stay in the shared file until the next call, and a process that began hours later would have treated the endpoint as restarted.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -209,6 +209,20 @@
 	}
 }
 
+// A process that begins long after a call back must not take the endpoint for cold once more.
+func TestCallsBackGrowOld(t *testing.T) {
+	now := time.Now()
+	for _, row := range []struct {
+		out  bool
+		age  time.Duration
+		want bool
+	}{{false, 0, true}, {false, backFor / 2, true}, {false, 2 * backFor, false}, {false, -2 * backFor, false}, {true, 0, false}} {
+		if b := (Bar{"s-1", row.out, now.Add(-row.age).UnixMilli()}); b.Lately(now) != row.want {
+			t.Errorf("out %v, %v old: %v", row.out, row.age, !row.want)
+		}
+	}
+}
+
 func TestBarsAreBounded(t *testing.T) {
 	var s State
 	for i := range 3 * MostBars {
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -122,6 +122,13 @@
 	return true
 }
 
+// Lately tells whether a call back is so young that its endpoint may still be cold: older ones stay in the file until the
+// next call.
+func (b Bar) Lately(now time.Time) bool {
+	age := now.Sub(time.UnixMilli(b.AtMs))
+	return !b.Out && age < backFor && age > -backFor
+}
+
 // View is what follows for one process.
 type View struct {
 	Superseded bool  // a newer one takes callers
--- a/internal/sidecar/takeover.go
+++ b/internal/sidecar/takeover.go
@@ -51,7 +51,7 @@
 	state, view, others := dir.Look(0)
 	for _, b := range state.Bars {
 		s.hands.note(b.ID, b.Out)
-		if !b.Out {
+		if b.Lately(time.Now()) {
 			s.hands.backs = append(s.hands.backs, b.ID)
 		}
 	}
