One call where the hand-over's tests had two; a field that nothing reads

Found when the change was read once more: a map in handover.Dir that was made and never used, and SIGTERM followed by a wait in eleven places of its test.

--- a/cmd/tuliprock/handover_test.go
+++ b/cmd/tuliprock/handover_test.go
@@ -223,6 +223,13 @@
 	}
 }
 
+// ends asks a process to end, and waits for that.
+func (p *process) ends(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	p.exits(t)
+}
+
 // Two processes replace one another under load, twice: no request is lost, none comes twice, and what operators took out before
 // stays out until they give it back, whichever process they call.
 func TestAProcessIsReplacedUnderLoad(t *testing.T) {
@@ -236,8 +243,7 @@
 	out := p.endpoints[1].Requests.Load()
 	second := p.start()
 	second.says(t, "check", "SUCCESS")
-	first.signal(t, syscall.SIGTERM)
-	first.exits(t)
+	first.ends(t)
 	callers.more(t, 200)
 	third := p.start()
 	third.says(t, "check", "SUCCESS")
@@ -245,12 +251,10 @@
 		t.Errorf("%d requests came to the one that is out", came)
 	}
 	second.says(t, "set-up s-1", "SUCCESS") // the one that is on its way out is called: the other hears of it
-	second.signal(t, syscall.SIGTERM)
-	second.exits(t)
+	second.ends(t)
 	testpeer.Until(t, "s-1 is used again", func() bool { return t.Failed() || p.endpoints[1].Requests.Load() > out })
 	p.end(callers)
-	third.signal(t, syscall.SIGTERM)
-	third.exits(t)
+	third.ends(t)
 }
 
 // A newer process that dies hands back: at once before it was ready, and after.
@@ -285,8 +289,7 @@
 	again.more(t, 50)
 	again.stop()
 	again.work.Wait()
-	first.signal(t, syscall.SIGTERM)
-	first.exits(t)
+	first.ends(t)
 }
 
 // One that was taken over from goes when all callers have, without any signal.
@@ -300,8 +303,7 @@
 	callers := p.load(3)
 	callers.more(t, 20)
 	p.end(callers)
-	second.signal(t, syscall.SIGTERM)
-	second.exits(t)
+	second.ends(t)
 }
 
 // SIGHUP to both, and long answers under way, in the middle of a hand-over: all come whole, and the old process waits for them.
@@ -331,14 +333,12 @@
 	first.signal(t, syscall.SIGHUP)
 	second.says(t, "check", "SUCCESS")
 	second.signal(t, syscall.SIGHUP)
-	first.signal(t, syscall.SIGTERM)
-	first.exits(t)
+	first.ends(t)
 	work.Wait()
 	callers := p.load(3)
 	callers.more(t, 20)
 	p.end(callers)
-	second.signal(t, syscall.SIGTERM)
-	second.exits(t)
+	second.ends(t)
 }
 
 // Where discovery is silent a newcomer goes by the list that it was started with, after a while; one that is told to end
@@ -352,14 +352,12 @@
 	callers.more(t, 20)
 	second := p.start()
 	testpeer.Until(t, "the second one listens to operators", func() bool { return strings.HasPrefix(second.call(t, "check"), "FAILURE") })
-	second.signal(t, syscall.SIGTERM)
-	second.exits(t)
+	second.ends(t)
 	first.says(t, "check", "SUCCESS")
 	callers.more(t, 20)
 	third := p.start()
 	third.says(t, "check", "SUCCESS")
-	first.signal(t, syscall.SIGTERM)
-	first.exits(t)
+	first.ends(t)
 	callers.more(t, 20)
 	p.end(callers)
 }
@@ -476,8 +474,7 @@
 	others = append(others, second)
 	mu.Unlock()
 	second.says(t, "check", "SUCCESS")
-	first.signal(t, syscall.SIGTERM)
-	first.exits(t)
+	first.ends(t)
 	callers.more(t, 50)
 	stop()
 	crowd.Wait()
@@ -486,8 +483,7 @@
 	if most > limit {
 		t.Errorf("%d descriptors of %d at once", most, limit)
 	}
-	second.signal(t, syscall.SIGTERM)
-	second.exits(t)
+	second.ends(t)
 }
 
 // Long bodies both ways at once stay under the daemon's memory, and come whole. BODIES=50x32 sets how many, of how many
--- a/internal/handover/dir.go
+++ b/internal/handover/dir.go
@@ -36,18 +36,17 @@
 	number int
 	life   *os.File // locked for as long as this process lives; says how many descriptors it uses
 
-	mu     sync.Mutex
-	last   State
-	seen   os.FileInfo // of the file that last was read from; nil: none was
-	others map[int]bool
-	used   int
-	spoke  time.Time
+	mu    sync.Mutex
+	last  State
+	seen  os.FileInfo // of the file that last was read from; nil: none was
+	used  int
+	spoke time.Time
 }
 
 // Join enters a directory as the newest process of a sidecar, and gives what the others know. What is damaged there is
 // logged, set aside, and no reason not to start; an error means that the directory can't be used at all.
 func Join(dir, name string, log *slog.Logger) (*Dir, error) {
-	d := &Dir{base: filepath.Join(dir, "tuliprock-"+plain(name)), name: name, log: log, others: map[int]bool{}}
+	d := &Dir{base: filepath.Join(dir, "tuliprock-"+plain(name)), name: name, log: log}
 	err := d.change(func(s *State) error {
 		d.number = s.join(d.alive)
 		life, err := os.OpenFile(d.lifeOf(d.number), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
