An attempt whose time is up when its connection is there is not sent

Ruled out: requests that lay in its sockets (their age is asked of the kernel; the deadline would have been past), and the module's own give-up (it had decided before the stop). Cause: Client.take (internal/upstream) rests a connection for up to 2 ms or dials one, and Attempt then wrote without another look. In a process that wakes, what waited goes on before the timers ring that would have ended the context, and AfterFunc's close runs on a goroutine of its own, later still. So the gap was as wide as a rest or a dial, not a system call. Change: Attempt looks at the deadline by the clock, last thing before the write; what is late was not sent (NotSent). Shown: TestNothingIsSentWhoseTimeIsUp fails without the look (3 requests came, 2 of them in time). What is left is a stop between the look and the write.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -382,9 +382,14 @@
 func (u *Client) Attempt(ctx context.Context, id string, m *Message, w Watch) (r balance.Result, reused bool, a Answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
-	if err == nil && u.isBarred(id) { // while it came up, or rested
+	switch {
+	case err != nil:
+	case u.isBarred(id): // while it came up, or rested
 		u.discard(c)
 		err = errBarred
+	case late(ctx):
+		u.discard(c)
+		err = errLate
 	}
 	if err != nil {
 		return unlessCanceled(ctx, notConnected(err)), false, Answer{}
@@ -404,11 +409,19 @@
 	errNoAddress     = errors.New("no address is known")
 	errNoDescriptors = errors.New("all descriptors for endpoints are in use")
 	errBarred        = errors.New("operators have taken it out")
+	errLate          = errors.New("its time was up before anything was sent")
 )
 
+// late tells whether an attempt's time is up, by the clock. In a process that was stopped while a connection came up or rested, what
+// waited goes on before the timers ring that would have called it off.
+func late(ctx context.Context) bool {
+	ends, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(ends)
+}
+
 // notConnected is the outcome where no connection came about. What is lacking here says nothing of the endpoint.
 func notConnected(err error) balance.Result {
-	for _, own := range []error{errNoAddress, errNoDescriptors, errBarred, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
+	for _, own := range []error{errNoAddress, errNoDescriptors, errBarred, errLate, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, own) {
 			return balance.NotSent
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -331,3 +331,28 @@
 		u.sweep(func(*conn) bool { return false })
 	}
 }
+
+// woken is the context of an attempt in a process that has just been woken: its time is up, and its timer has not rung yet.
+type woken struct{ context.Context }
+
+func (woken) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+func (woken) Done() <-chan struct{}       { return nil }
+func (woken) Err() error                  { return nil }
+
+// What waited for a connection while the process was stopped is not sent when it wakes, whether the connection is new or has
+// rested.
+func TestNothingIsSentWhoseTimeIsUp(t *testing.T) {
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	u := testUpstream(t, e.Addr)
+	for _, connection := range []string{"new", "rested"} {
+		if r, _, _ := u.Attempt(woken{context.Background()}, "a", get("/late"), Watch{}); r != map[string]balance.Result{"new": balance.ConnectFailed, "rested": balance.NotSent}[connection] {
+			t.Errorf("on a %s connection: %v", connection, r)
+		}
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c"), Watch{}); r != balance.OK {
+			t.Fatalf("%v", r)
+		}
+	}
+	if n := e.Requests.Load(); n != 2 {
+		t.Errorf("%d requests came, 2 of them in time", n)
+	}
+}
