--- a/cmd/tuliprock/check.go
+++ b/cmd/tuliprock/check.go
@@ -135,6 +135,9 @@
 	case p.Agent != "":
 		return "members from the agent at " + p.Agent
 	}
+	if p.Members != "" {
+		return "members as is agreed on"
+	}
 	return fmt.Sprintf("%d members", len(p.Member))
 }
 
--- a/cmd/tuliprock/peers.go
+++ b/cmd/tuliprock/peers.go
@@ -31,39 +31,6 @@
 	return printPeers(os.Stdout, f)
 }
 
-type settingsCommand struct {
-	At   string `required:"" placeholder:"ADDR" help:"The daemon's operators' address (admin_addr)."`
-	JSON string `name:"json" placeholder:"FILE" help:"Write the whole answer here; '-': standard output."`
-}
-
-// Run implements kong's command.
-func (c *settingsCommand) Run() error {
-	s, err := report.AskSettings(c.At, peersTime)
-	if err != nil {
-		return err
-	}
-	if c.JSON != "" {
-		return writeJSON(c.JSON, s)
-	}
-	return printSettings(os.Stdout, s)
-}
-
-func printSettings(w io.Writer, s *report.Settings) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	lease := fmt.Sprintf("its lease lasts %v yet", time.Duration(s.LeaseMs)*time.Millisecond)
-	if !s.Acting {
-		lease = "it has no lease: the last word stands"
-	}
-	fmt.Fprintf(t, "version %d; %s; granted by %s\n", s.Version, lease, s.Leader)
-	if s.Coming > s.Version {
-		fmt.Fprintf(t, "version %d is to come; waited for: %s\n", s.Coming, s.Lagging)
-	}
-	for _, d := range s.Documents {
-		fmt.Fprintf(t, "%s\tversion %d\tby %s\t%d bytes\n", d.Name, d.Version, d.By, d.Bytes)
-	}
-	return t.Flush()
-}
-
 type councilCommand struct {
 	Daemons []int  `sep:"," default:"3,7,50,300" help:"Sizes of the fleets, three voters each."`
 	Seed    uint64 `default:"1" help:"What chance decides is drawn from it."`
--- /dev/null
+++ b/cmd/tuliprock/settings.go
@@ -0,0 +1,370 @@
+package main
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/aymanbagabas/go-udiff"
+
+	"tuliprock/internal/config"
+	"tuliprock/internal/peers/report"
+)
+
+type settingsCommand struct {
+	Show    settingsShow    `cmd:"" default:"withargs" help:"What this daemon acts on; with a name: a document as it is agreed on."`
+	Put     settingsPut     `cmd:"" help:"Have the shared part of an operators' file agreed on, or another document."`
+	Remove  settingsRemove  `cmd:"" help:"Have a document taken out."`
+	Back    settingsBack    `cmd:"" help:"Have a document put as it was at a version."`
+	Force   settingsForce   `cmd:"" help:"Activate a version that some daemons can't act on: they go without a lease."`
+	Voters  settingsVoters  `cmd:"" help:"Who votes; have a daemon vote, or vote no longer."`
+	History settingsHistory `cmd:"" help:"What was changed, when and by whom."`
+	Diff    settingsDiff    `cmd:"" help:"What differs between two versions of a document, or between what is agreed on and a file."`
+}
+
+// daemonAt is whom a command asks.
+type daemonAt struct {
+	At   string `required:"" placeholder:"ADDR" help:"The daemon's operators' address (admin_addr)."`
+	JSON string `name:"json" placeholder:"FILE" help:"Write the whole answer here; '-': standard output."`
+}
+
+// settingsTime is how long a call may take that a majority of the voters must answer: an election takes one or two seconds.
+const settingsTime = 10 * time.Second
+
+func (d *daemonAt) call(body []byte, words ...string) (*report.Answer, error) {
+	return report.Call(d.At, words, body, settingsTime)
+}
+
+type settingsShow struct {
+	daemonAt
+	Name    string `arg:"" optional:"" help:"Of a document: shared, members/POOL, out/ID, flag/NAME."`
+	Version uint64 `help:"As it was at this version; 0: the latest."`
+}
+
+// Run implements kong's command.
+func (c *settingsShow) Run() error {
+	if c.Name != "" {
+		a, err := c.document(c.Name, c.Version)
+		if err != nil || c.JSON != "" {
+			return errors.Join(err, writeAsked(c.JSON, a, err))
+		}
+		_, err = os.Stdout.Write(a.Body)
+		return err
+	}
+	s, err := report.AskSettings(c.At, peersTime)
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		return writeJSON(c.JSON, s)
+	}
+	return printSettings(os.Stdout, s)
+}
+
+// writeAsked writes an answer as JSON, if there is one.
+func writeAsked(path string, a *report.Answer, err error) error {
+	if err != nil {
+		return nil
+	}
+	return writeJSON(path, a)
+}
+
+func (d *daemonAt) document(name string, version uint64) (*report.Answer, error) {
+	words := []string{"show", name}
+	if version > 0 {
+		words = append(words, strconv.FormatUint(version, 10))
+	}
+	return d.call(nil, words...)
+}
+
+func printSettings(w io.Writer, s *report.Settings) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	lease := fmt.Sprintf("its lease lasts %v yet", time.Duration(s.LeaseMs)*time.Millisecond)
+	if !s.Acting {
+		lease = "it has no lease"
+	}
+	fmt.Fprintf(t, "version %d; %s; granted by %s\n", s.Version, lease, s.Leader)
+	if s.Declined > 0 {
+		fmt.Fprintf(t, "it can't act on version %d: %s\n", s.Declined, s.Why)
+	}
+	for _, l := range s.Lags {
+		fmt.Fprintf(t, "waited for: %s: %s\n", l.Daemon, l.Why)
+	}
+	for _, d := range s.Documents {
+		fmt.Fprintf(t, "%s\tversion %d\tby %s\t%d bytes\n", d.Name, d.Version, d.By, d.Bytes)
+	}
+	return t.Flush()
+}
+
+// change is a command that has something changed.
+type change struct {
+	daemonAt
+	Expect string        `placeholder:"VERSION" help:"Change nothing unless this is the latest version."`
+	ID     string        `help:"Of this change: made again with the same one it is done once. Left out: drawn."`
+	Wait   time.Duration `default:"60s" help:"How long to wait until all daemons act on it; 0s: until it is agreed on."`
+}
+
+// changed is the result of a change as JSON.
+type changed struct {
+	Format  int          `json:"format"` // 1
+	ID      string       `json:"id"`
+	Version uint64       `json:"version"`
+	Same    bool         `json:"same,omitempty"` // there was nothing to change
+	AllAct  bool         `json:"all_act"`        // no daemon acts on an earlier version any more
+	Lags    []report.Lag `json:"lags,omitempty"` // who is waited for, where that is not so
+}
+
+// make has a change agreed on, and waits until all act on it. It says both as they come.
+func (c *change) make(word, name string, body []byte, more ...string) error {
+	if c.ID == "" {
+		c.ID = rand.Text()
+	}
+	expect := "-"
+	if c.Expect != "" {
+		expect = c.Expect
+	}
+	a, err := c.call(body, append([]string{word, c.ID, expect, name}, more...)...)
+	if unsure := (report.Unsure{}); errors.As(err, &unsure) {
+		return verdict{fmt.Errorf("%w; ask again with --id %s", err, c.ID)}
+	}
+	if err != nil {
+		return err
+	}
+	return c.await(&changed{Format: 1, ID: c.ID, Version: a.Version, Same: a.Same})
+}
+
+func (c *change) await(r *changed) error {
+	say := func(format string, args ...any) {
+		if c.JSON != "-" {
+			fmt.Printf(format+"\n", args...)
+		}
+	}
+	if r.Same {
+		say("there was nothing to change at version %d", r.Version)
+	} else {
+		say("version %d is agreed on", r.Version)
+	}
+	began, why := time.Now(), error(nil)
+	if c.Wait > 0 {
+		why = c.allAct(r, began)
+	}
+	if r.AllAct {
+		say("all act on version %d, %v later", r.Version, time.Since(began).Round(time.Millisecond))
+	}
+	for _, l := range r.Lags {
+		say("waited for: %s: %s", l.Daemon, l.Why)
+	}
+	if c.JSON != "" {
+		why = errors.Join(why, writeJSON(c.JSON, r))
+	}
+	return why
+}
+
+const lookEvery = 100 * time.Millisecond
+
+// allAct waits until all daemons act on a version.
+func (c *change) allAct(r *changed, began time.Time) error {
+	for {
+		s, err := report.AskVersions(c.At, peersTime)
+		if err == nil {
+			if r.AllAct, r.Lags = s.All >= r.Version, s.Lags; r.AllAct {
+				r.Lags = nil
+				return nil
+			}
+		}
+		if time.Since(began) > c.Wait {
+			return verdict{fmt.Errorf("version %d is agreed on, but after %v not all act on it", r.Version, c.Wait)}
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+type settingsPut struct {
+	change
+	File string `arg:"" help:"An operators' file, of which the shared part is put; with --name: the document."`
+	Name string `help:"Put the file as this document: members/POOL (a list of members) or flag/NAME." placeholder:"NAME"`
+}
+
+// Run implements kong's command.
+func (c *settingsPut) Run() error {
+	body, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	name := c.Name
+	if name == "" {
+		var left []string
+		name = config.SharedDoc
+		if body, left, err = config.SharedPart(c.File, body); err != nil {
+			return err
+		}
+		if len(left) > 0 {
+			fmt.Fprintf(os.Stderr, "left out, as it is each daemon's own: %s\n", strings.Join(left, ", "))
+		}
+	}
+	return c.make("put", name, body, strconv.Itoa(len(body)))
+}
+
+type settingsRemove struct {
+	change
+	Name string `arg:"" help:"Of the document."`
+}
+
+// Run implements kong's command.
+func (c *settingsRemove) Run() error { return c.make("remove", c.Name, nil) }
+
+type settingsBack struct {
+	change
+	Version uint64 `arg:"" help:"The version at which the document was as it is to be."`
+	Name    string `default:"shared" help:"Of the document."`
+}
+
+// Run implements kong's command.
+func (c *settingsBack) Run() error {
+	return c.make("back", c.Name, nil, strconv.FormatUint(c.Version, 10))
+}
+
+type settingsForce struct {
+	change
+	Version uint64 `arg:"" help:"The version that is to come."`
+}
+
+// Run implements kong's command.
+func (c *settingsForce) Run() error {
+	a, err := c.call(nil, "force", rand.Text(), strconv.FormatUint(c.Version, 10))
+	if err != nil {
+		return err
+	}
+	return c.await(&changed{Format: 1, Version: a.Version})
+}
+
+type settingsVoters struct {
+	daemonAt
+	Change string        `arg:"" optional:"" enum:"add,remove," default:"" help:"add or remove; left out: says who votes."`
+	Name   string        `arg:"" optional:"" help:"Of the daemon. It needs a data_dir, empty where it is added."`
+	Wait   time.Duration `default:"30s" help:"How long to wait until it is so."`
+}
+
+// Run implements kong's command.
+func (c *settingsVoters) Run() error {
+	if (c.Change == "") != (c.Name == "") {
+		return errors.New("settings voters: add NAME or remove NAME")
+	}
+	if c.Change != "" {
+		if _, err := c.call(nil, "voters-"+c.Change, rand.Text(), c.Name); err != nil {
+			return err
+		}
+	}
+	for began := time.Now(); ; time.Sleep(lookEvery) {
+		s, err := report.AskVersions(c.At, peersTime)
+		if err == nil && (c.Change == "" || c.done(s)) {
+			return c.say(s)
+		}
+		if time.Since(began) > c.Wait {
+			return errors.Join(verdict{fmt.Errorf("after %v it is not so that %s: voters %s", c.Wait, c.aim(), s.Voters)}, err)
+		}
+	}
+}
+
+func (c *settingsVoters) aim() string {
+	if c.Change == "add" {
+		return c.Name + " votes"
+	}
+	return c.Name + " votes no longer"
+}
+
+// done tells whether a daemon holds that the change is made. Who is asked may list more than those who vote.
+func (c *settingsVoters) done(s *report.Settings) bool {
+	return slices.Contains(strings.Split(s.Sitting, ","), c.Name) == (c.Change == "add")
+}
+
+func (c *settingsVoters) say(s *report.Settings) error {
+	if c.JSON != "" {
+		return writeJSON(c.JSON, s)
+	}
+	_, err := fmt.Println(strings.ReplaceAll(s.Sitting, ",", " "))
+	return err
+}
+
+type settingsHistory struct {
+	daemonAt
+	Name string `arg:"" optional:"" help:"Of a document; left out: all."`
+}
+
+// Run implements kong's command.
+func (c *settingsHistory) Run() error {
+	a, err := c.call(nil, "history")
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		return writeJSON(c.JSON, a)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, h := range a.History {
+		if c.Name != "" && h.Name != c.Name {
+			continue
+		}
+		what := fmt.Sprintf("%d bytes, %.12s", h.Bytes, h.SHA256)
+		if h.Out() {
+			what = "taken out"
+		}
+		if h.Back > 0 {
+			what += fmt.Sprintf(", as at version %d", h.Back)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\tby %s\t%s\n", h.Version, h.Name, what, h.By, time.UnixMilli(h.AtMs).UTC().Format(time.DateTime))
+	}
+	return t.Flush()
+}
+
+type settingsDiff struct {
+	daemonAt
+	Name string `default:"shared" help:"Of the document."`
+	From uint64 `help:"A version; 0: the latest."`
+	To   uint64 `help:"Another; 0: the latest."`
+	File string `placeholder:"FILE" help:"In place of --to: an operators' file, of which the shared part counts."`
+}
+
+// Run implements kong's command. It ends with 1 where there is a difference.
+func (c *settingsDiff) Run() error {
+	from, err := c.document(c.Name, c.From)
+	if err != nil {
+		return err
+	}
+	var to []byte
+	other := c.File
+	if c.File != "" {
+		if to, err = os.ReadFile(c.File); err == nil && c.Name == config.SharedDoc {
+			to, _, err = config.SharedPart(c.File, to)
+		}
+	} else {
+		var a *report.Answer
+		if a, err = c.document(c.Name, c.To); err == nil {
+			to, other = a.Body, fmt.Sprintf("%s, version %d", c.Name, a.Put)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	text := udiff.Unified(fmt.Sprintf("%s, version %d", c.Name, from.Put), other, string(from.Body), string(to))
+	if c.JSON != "" {
+		err = writeJSON(c.JSON, struct {
+			Format  int    `json:"format"`
+			Differs bool   `json:"differs"`
+			Diff    string `json:"diff"`
+		}{1, text != "", text})
+	} else {
+		_, err = os.Stdout.WriteString(text)
+	}
+	if err == nil && text != "" {
+		err = verdict{errors.New("they differ")}
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/tuliprock/settings_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"tuliprock/internal/lab/testpeer"
+	"tuliprock/internal/peers/report"
+)
+
+// markHeader is set by the settings that are agreed on, so that each request says by which it was decided.
+const markHeader = "X-Settings"
+
+// settingsText is a shared part that marks requests, of a size.
+func (c *councilDaemons) settingsText(mark string, unsure string, pad int) []byte {
+	return fmt.Appendf(nil, `format = 1
+shared = { unsure = %q }
+class = [{ name = "look", effect = "safe" }]
+pool = [{ name = "p", member = [{ address = %q }, { address = %q }] }]
+route = [{ pool = "p", class = "look", set_header = [{ name = %q, value = %q }] }]
+# %s
+`, unsure, c.nodes[0].Addr, c.nodes[1].Addr, markHeader, mark, strings.Repeat("x", pad))
+}
+
+// put has a document agreed on by a daemon.
+func (d *fleetDaemon) put(id, name string, body []byte, within time.Duration) (*report.Answer, error) {
+	return report.Call(d.admin, []string{"put", id, "-", name, strconv.Itoa(len(body))}, body, within)
+}
+
+// ask sends a request through a daemon, and gives the answer's status.
+func (d *fleetDaemon) ask(client *http.Client, id string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+d.http+"/x", nil)
+	if err != nil {
+		return 0, "", err
+	}
+	if id != "" {
+		req.Header.Set("Req-Id", id)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get("Retry-After"), err
+}
+
+// acting waits until all of some daemons act on a version or a later one.
+func (c *councilDaemons) acting(ds []*fleetDaemon, version uint64) {
+	c.t.Helper()
+	began := time.Now()
+	for _, d := range ds {
+		testpeer.Until(c.t, fmt.Sprintf("%s acts on version %d", d.listen, version), func() bool {
+			s, err := report.AskVersions(d.admin, peersTime)
+			return err == nil && s.Acting && s.Version >= version
+		})
+	}
+	c.t.Logf("after %v all act on version %d", time.Since(began).Round(time.Millisecond), version)
+}
+
+// The commands, as operators use them, on five real processes: what is put holds on all; what some can't act on waits, gives way
+// to what comes after it, or is forced; who has no lease refuses; and a daemon that starts goes on with what it knew.
+func TestSettingsOnFiveDaemons(t *testing.T) {
+	var mu sync.Mutex
+	marks := map[string]int{}
+	c := newCouncil(t, councilOf{daemons: 5, voters: 3, remember: true, shared: `shared = { unsure = "refuse" }`, saw: func(r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		marks[r.Header.Get(markHeader)]++
+	}})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	marked := func(d *fleetDaemon, want string) {
+		t.Helper()
+		mu.Lock()
+		clear(marks)
+		mu.Unlock()
+		testpeer.Until(t, "a request marked "+want, func() bool {
+			status, _, err := d.ask(client, "")
+			mu.Lock()
+			defer mu.Unlock()
+			return err == nil && status == http.StatusOK && marks[want] > 0
+		})
+	}
+	file := filepath.Join(t.TempDir(), "new.toml")
+	cli := func(code int, want string, args ...string) string {
+		t.Helper()
+		got, out, errs := run(t, program(append([]string{"settings"}, args...)...))
+		if got != code || !strings.Contains(out+errs, want) {
+			t.Fatalf("settings %v: %d\n%s%s\nwanted %d and %q", args, got, out, errs, code, want)
+		}
+		return out
+	}
+	write := func(text []byte) {
+		t.Helper()
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	at := func(i int) string { return "--at=" + c.ds[i].admin }
+
+	// One put, by a daemon that does not vote, of a whole operators' file.
+	write(append([]byte("daemon = { name = \"other\" }\nlistener = [{ name = \"in\", address = \"127.0.0.1:1\" }]\n"), c.settingsText("one", "refuse", 0)...))
+	out := cli(exitHeld, "left out, as it is each daemon's own: daemon, listener", "put", file, at(4))
+	if !strings.Contains(out, "version 1 is agreed on") || !strings.Contains(out, "all act on version 1") {
+		t.Errorf("%s", out)
+	}
+	for _, d := range c.ds {
+		marked(d, "one")
+	}
+	// A fault in the file is told with its line, and changes nothing; so does a version that is not there.
+	write([]byte(strings.Replace(string(c.settingsText("bad", "refuse", 0)), `effect = "safe"`, `effect = "odd"`, 1)))
+	cli(exitUsage, "new.toml:3: class[0].effect", "put", file, at(0))
+	write(c.settingsText("two", "refuse", 1<<20-2000)) // nearly as long as one may be
+	cli(exitUsage, "another version is there than was expected", "put", file, at(1), "--expect=7")
+	cli(exitHeld, "all act on version 2", "put", file, at(1), "--expect=1", "--id=mine")
+	cli(exitHeld, "version 2 is agreed on", "put", file, at(2), "--expect=1", "--id=mine") // its answer was lost, say
+	marked(c.ds[3], "two")
+	cli(exitBad, "+route = [{ pool = \"p\", class = \"look\", set_header = [{ name = \"X-Settings\", value = \"two\" }] }]", "diff", at(3), "--from=1")
+	cli(exitHeld, "\"differs\":false", "diff", at(3), "--json=-", "--file="+file)
+	cli(exitHeld, "\"format\":1,\"version\":2,", at(3), "--json=-")
+	cli(exitHeld, "value = \"one\"", "show", "shared", "--version=1", at(4))
+
+	// Some can't act on what comes: a file of members that is not there on their machine. It waits, and gives way.
+	lacks := strings.Replace(string(c.settingsText("three", "refuse", 0)), "member = [", `file = "members.json" }, { name = "q", member = [`, 1)
+	c.ds[3].signal(t, syscall.SIGTERM)
+	if err := c.ds[3].ended(); err != nil {
+		t.Fatalf("%v: %s", err, c.ds[3])
+	}
+	elsewhere := t.TempDir()
+	if err := os.WriteFile(filepath.Join(elsewhere, "members.json"), []byte(`{"format":1,"members":[{"address":"`+c.nodes[0].Addr+`"}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.ds[3].daemonRun = &daemonRun{cmd: program("serve", "--config", c.ds[3].path)}
+	c.ds[3].cmd.Dir = elsewhere
+	c.ds[3].daemonRun.begin(t)
+	c.ds[3].await(t, "msg=listening")
+	marked(c.ds[3], "two")
+	write([]byte(lacks))
+	cli(exitBad, "can't act on version 3: shared: pool[0].file", "put", file, at(3), "--wait=3s")
+	marked(c.ds[0], "two")
+	cli(exitHeld, "all act on version 4", "back", "1", at(0))
+	for _, d := range c.ds {
+		marked(d, "one")
+	}
+	cli(exitBad, "can't act on version 5", "put", file, at(3), "--wait=2s")
+	cli(exitHeld, "all act on version 5", "force", "5", at(3))
+	marked(c.ds[3], "three")
+	if status, after, err := c.ds[0].ask(client, ""); err != nil || status != http.StatusServiceUnavailable || after == "" {
+		t.Errorf("who can't act on what others do: %d, Retry-After %q, %v", status, after, err)
+	}
+	cli(exitHeld, "all act on version 6", "back", "2", at(0))
+	marked(c.ds[0], "two")
+	cli(exitHeld, "as at version 2", "history", at(4))
+
+	// A list of members that is agreed on.
+	write([]byte(strings.Replace(string(c.settingsText("seven", "refuse", 0)), `name = "p", member = [{ address = "`+c.nodes[0].Addr+`" }, { address = "`+c.nodes[1].Addr+`" }]`, `name = "p", members = "agreed"`, 1)))
+	cli(exitHeld, "all act on version 7", "put", file, at(0))
+	list := filepath.Join(elsewhere, "list.json")
+	if err := os.WriteFile(list, []byte(`{"format":1,"members":[{"address":"`+c.nodes[1].Addr+`"}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cli(exitHeld, "all act on version 8", "put", list, "--name=members/p", at(1))
+	marked(c.ds[4], "seven")
+	if n := c.asks(c.ds, 0); n > 0 {
+		t.Errorf("%d requests came to a node that is not on the list", n)
+	}
+	write([]byte(`{"format":1,"members":[]}`))
+	cli(exitUsage, "one at least is wanted", "put", file, "--name=members/p", at(1))
+	cli(exitUsage, "knows no such document", "put", file, "--name=other", at(1))
+	cli(exitHeld, "all act on version 9", "remove", "members/p", at(1))
+
+	// A voter that is gone for good is replaced by one that did not vote.
+	c.ds[0].signal(t, syscall.SIGKILL)
+	_ = c.ds[0].ended()
+	cli(exitHeld, "s0 s1 s2 s3", "voters", "add", "s3", at(4))
+	cli(exitHeld, "s1 s2 s3", "voters", "remove", "s0", at(3))
+	cli(exitUsage, "is no name of a daemon", "voters", "add", "s/3", at(4))
+	write(c.settingsText("ten", "refuse", 0))
+	cli(exitHeld, "all act on version 10", "put", file, at(4))
+	for _, d := range c.ds[1:] {
+		marked(d, "ten")
+	}
+	// All are killed at once: nothing is lost, and who was made a voter is one.
+	for _, d := range c.ds[1:] {
+		d.signal(t, syscall.SIGKILL)
+		_ = d.ended()
+	}
+	for i, d := range c.ds[1:] {
+		d.daemonRun = &daemonRun{cmd: program("serve", "--config", d.path)}
+		if i+1 == 3 {
+			d.cmd.Dir = elsewhere
+		}
+		d.daemonRun.begin(t)
+	}
+	for _, d := range c.ds[1:] {
+		marked(d, "ten")
+	}
+	cli(exitHeld, "s1 s2 s3", "voters", at(4))
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -25,11 +25,13 @@
 
 // Daemon is what the calls are passed on to. Each must return when ctx ends; they are called by many goroutines at once.
 type Daemon struct {
-	Ready    func() bool                                                    // clients are taken
-	Vars     func(ctx context.Context, w io.Writer) error                   // writes the figures
-	Peers    func(w io.Writer) error                                        // writes who of the fleet is there
-	Settings func(w io.Writer) error                                        // writes what is agreed on
-	Bar      func(ctx context.Context, id string, out bool) (string, error) // takes an endpoint out, or back; says what became of it
+	Ready    func() bool                                                            // clients are taken
+	Vars     func(ctx context.Context, w io.Writer) error                           // writes the figures
+	Peers    func(w io.Writer) error                                                // writes who of the fleet is there
+	Versions func(w io.Writer) error                                                // writes which version of what is agreed on is acted on
+	Settings func(ctx context.Context, more string, body []byte, w io.Writer) error // carries out what follows settings, and writes what came of it
+	MostBody int                                                                    // bytes that may follow a line; 0: none
+	Bar      func(ctx context.Context, id string, out bool) (string, error)         // takes an endpoint out, or back; says what became of it
 }
 
 // Server answers calls. No more than a stated number of connections are open at once: where there is no room, the oldest
@@ -143,18 +145,22 @@
 	for err == nil && len(bytes.TrimSpace(line)) == 0 { // the time for it goes on
 		line, err = read.ReadSlice('\n')
 	}
-	var answer []byte
+	var c Call
+	var body []byte
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
-		answer = failure(errTooLong)
+		err = errTooLong
 	case err != nil:
 		return
+	default:
+		c, body, err = s.read(line[:len(line)-1], read)
 	}
 	if !s.busy(nc, spot) {
 		return
 	}
-	if answer == nil {
-		answer = s.answer(line[:len(line)-1])
+	answer := failure(err)
+	if err == nil {
+		answer = s.answer(c, body)
 	}
 	_ = nc.SetWriteDeadline(time.Now().Add(answerTime))
 	if _, err := nc.Write(answer); err != nil {
@@ -181,12 +187,24 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(nc, lingerMost))
 }
 
-// answer carries a call out.
-func (s *Server) answer(line []byte) []byte {
+// read reads a call, with what follows its line. The time for the line is that for all of it; half of it is never acted on.
+func (s *Server) read(line []byte, from io.Reader) (Call, []byte, error) {
 	c, err := Parse(line)
-	if err != nil {
-		return failure(err)
+	switch {
+	case err != nil:
+		return c, nil, err
+	case c.Body > s.d.MostBody:
+		return c, nil, fmt.Errorf("%d bytes may follow a line at most", s.d.MostBody)
 	}
+	body, err := io.ReadAll(io.LimitReader(from, int64(c.Body)))
+	if err != nil || len(body) < c.Body {
+		return c, nil, fmt.Errorf("%d of %d bytes have come", len(body), c.Body)
+	}
+	return c, body, nil
+}
+
+// answer carries a call out.
+func (s *Server) answer(c Call, body []byte) []byte {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	switch c.Word {
@@ -200,7 +218,9 @@
 	case Peers:
 		return lines(s.d.Peers)
 	case Settings:
-		return lines(s.d.Settings)
+		return lines(func(w io.Writer) error { return s.d.Settings(ctx, c.More, body, w) })
+	case Versions:
+		return lines(s.d.Versions)
 	}
 	said, err := s.d.Bar(ctx, c.ID, c.Word == SetDown)
 	if err != nil {
--- /dev/null
+++ b/internal/config/agreed.go
@@ -0,0 +1,208 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/membership"
+	"tuliprock/internal/tomlfile"
+)
+
+// Names of documents that daemons agree on.
+const (
+	SharedDoc     = "shared"   // the part of an operators' file that is all daemons' alike, as TOML
+	MembersPrefix = "members/" // and a pool's name: the list of a pool with members = "agreed", in the form of a members file
+	OutPrefix     = "out/"     // and an endpoint's id: it is out by hand; the body is empty
+	FlagPrefix    = "flag/"    // and a name: a value of a line, for whoever asks
+)
+
+// MostName is how many bytes a document's name may have.
+const MostName = 300
+
+// ownParts are the parts of an operators' file that are each daemon's own.
+var ownParts = []string{"daemon", "fleet", "listener"}
+
+// Shared is what of an operators' file concerns all daemons alike.
+type Shared struct {
+	Unsure string `toml:"unsure"` // what a daemon does whose lease has run out: "keep" or "refuse"
+}
+
+// What a daemon does that does not know what others act on.
+const (
+	unsureKeep   = "keep"
+	unsureRefuse = "refuse"
+)
+
+// SharedPart cuts an operators' file, or a text that holds that part alone, to what is shared, and names what was left out. The
+// part is checked whole.
+func SharedPart(name string, text []byte) (shared []byte, left []string, _ error) {
+	if err := whole(name, text); err != nil {
+		return nil, nil, err
+	}
+	shared, left = tomlfile.Without(text, ownParts...)
+	_, err := readShared(name, shared)
+	return shared, left, err
+}
+
+// whole checks a text with its own parts, where it has any, so that errors have its own lines.
+func whole(name string, text []byte) error {
+	f := &File{}
+	if _, err := tomlfile.Decode(name, text, f); err != nil {
+		return err
+	}
+	if len(f.Listener) == 0 && f.Fleet == nil {
+		return nil
+	}
+	_, err := parse(name, text, func(*File, *tomlfile.File) error { return nil }) // it is for daemons that agree
+	return err
+}
+
+// readShared reads the shared part.
+func readShared(name string, text []byte) (*File, error) {
+	f := &File{}
+	at, err := tomlfile.Decode(name, text, f)
+	if err != nil {
+		return nil, err
+	}
+	for _, own := range ownParts {
+		if _, had := tomlfile.Without(text, own); had != nil {
+			return nil, at.Errorf(own, "must be left out: it is each daemon's own")
+		}
+	}
+	if f.Format != 1 {
+		return nil, at.Errorf("format", "must be 1")
+	}
+	f.fill(at)
+	for _, check := range []func(*tomlfile.File) error{f.checkShared, f.checkClasses, f.checkTenants, f.checkPools, f.checkRoutes} {
+		if err := check(at); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *File) checkShared(at *tomlfile.File) error {
+	return at.Check("shared", []tomlfile.Must{
+		tomlfile.Need("unsure", f.Shared.Unsure == unsureKeep || f.Shared.Unsure == unsureRefuse, `"keep" or "refuse"`),
+	})
+}
+
+// checkAgreed wants nothing of a file for which a fleet that agrees would be needed, where there is none.
+func (f *File) checkAgreed(at *tomlfile.File) error {
+	if f.Fleet != nil && f.Fleet.Agreed {
+		return nil
+	}
+	if f.Shared.Unsure == unsureRefuse {
+		return at.Errorf("shared.unsure", `must be "keep" where nothing is agreed on`)
+	}
+	for i, p := range f.Pool {
+		if p.Members != "" {
+			return at.Errorf(fmt.Sprintf("pool[%d].members", i), "must be left out where nothing is agreed on")
+		}
+	}
+	return nil
+}
+
+// With is the file as it is with documents that were agreed on, by name: what is shared is theirs, where they say something of
+// it. An error says, in one line, why this daemon can't act on them.
+func (f *File) With(docs map[string][]byte) (*File, error) {
+	out := *f
+	if text, ok := docs[SharedDoc]; ok {
+		s, err := readShared(SharedDoc, text)
+		if err != nil {
+			return nil, err
+		}
+		s.Daemon, s.Fleet, s.Listener, s.divide = f.Daemon, f.Fleet, f.Listener, f.divide
+		out = *s
+	}
+	out.agreed = map[string][]Member{}
+	for name, body := range docs {
+		if err := checkDoc(name, body); err != nil {
+			return nil, err
+		}
+		if pool, ok := strings.CutPrefix(name, MembersPrefix); ok {
+			members, err := agreedMembers(body)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", name, err)
+			}
+			out.agreed[pool] = members
+		}
+	}
+	return &out, nil
+}
+
+// CanAct tells why this daemon can't act on documents; nil: it can. Besides what With finds, it looks for the files of members
+// that pools are to read.
+func (f *File) CanAct(docs map[string][]byte) error {
+	with, err := f.With(docs)
+	if err != nil || docs[SharedDoc] == nil {
+		return err
+	}
+	for i, p := range with.Pool {
+		if p.File == "" {
+			continue
+		}
+		if _, err := os.Stat(p.File); err != nil {
+			return fmt.Errorf("%s: pool[%d].file: %w", SharedDoc, i, err)
+		}
+	}
+	return nil
+}
+
+var errNoMembers = errors.New("members: one at least is wanted; take endpoints out by hand")
+
+func agreedMembers(body []byte) ([]Member, error) {
+	list, err := discovery.ParseMemberFile(body)
+	if err != nil {
+		return nil, err
+	}
+	if len(list) == 0 {
+		return nil, errNoMembers
+	}
+	return fromList(list), nil
+}
+
+// fromList undoes List.
+func fromList(list []membership.Member) (out []Member) {
+	for _, m := range list {
+		state := "ready"
+		if m.Draining {
+			state = "draining"
+		}
+		out = append(out, Member{ID: m.ID, Address: m.Addr, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: state})
+	}
+	return out
+}
+
+// IsDocName tells whether a document may be of this name: printable and without spaces.
+func IsDocName(name string) bool {
+	return name != "" && len(name) <= MostName && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd })
+}
+
+// checkDoc wants a document to be of a sort that this program knows.
+func checkDoc(name string, body []byte) error {
+	sort, rest, _ := strings.Cut(name, "/")
+	switch sort + "/" {
+	case SharedDoc + "/":
+		if rest == "" && name == SharedDoc {
+			return nil
+		}
+	case MembersPrefix:
+		if rest != "" {
+			return nil
+		}
+	case OutPrefix:
+		if rest != "" && len(body) == 0 {
+			return nil
+		}
+	case FlagPrefix:
+		if rest != "" && !strings.ContainsAny(string(body), "\r\n") {
+			return nil
+		}
+	}
+	return fmt.Errorf("%.80q: this program knows no such document", cmp.Or(name, "a document without a name"))
+}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -26,8 +26,8 @@
 	ProbeTimeout time.Duration `toml:"probe_timeout"`
 	Suspicion    time.Duration `toml:"suspicion"`
 
-	Agreed         bool          `toml:"agreed"`          // what operators take out by hand holds on all daemons
-	DataDir        string        `toml:"data_dir"`        // of a voter's log
+	Agreed         bool          `toml:"agreed"`          // settings, lists and what operators take out by hand hold on all daemons
+	DataDir        string        `toml:"data_dir"`        // of a voter's log, and of what any daemon acted on last
 	ConflictWithin time.Duration `toml:"conflict_within"` // no two daemons contradict one another for longer
 	Lease          time.Duration `toml:"lease"`           // for which a daemon goes on that reaches no voter, while nothing changes
 	ClockDrift     float64       `toml:"clock_drift"`     // by which clocks may run fast or slow, as a share
@@ -35,7 +35,7 @@
 
 // AgreedSpec says how a daemon takes part in what is agreed.
 type AgreedSpec struct {
-	DataDir string // empty: it does not vote
+	DataDir string // empty: it does not vote, and remembers nothing over a restart
 	Terms   agree.Terms
 }
 
@@ -115,7 +115,8 @@
 		tomlfile.Need("probe_every", t.ProbeEvery >= leastProbe && t.ProbeEvery <= mostProbe, fmt.Sprintf("from %v to %v", leastProbe, mostProbe)),
 		tomlfile.Need("probe_timeout", t.ProbeTimeout >= leastProbeWait && t.ProbeTimeout <= t.ProbeEvery/2, fmt.Sprintf("from %v to half of probe_every", leastProbeWait)),
 		tomlfile.Need("agreed", !t.Agreed || len(t.Voters) > 0, "false where no voters are named"),
-		tomlfile.Need("data_dir", (t.DataDir != "") == (t.Agreed && slices.Contains(t.Voters, t.Name)), "given for a voter where settings are agreed on, and only there"),
+		tomlfile.Need("data_dir", t.DataDir == "" || t.Agreed, "left out where nothing is agreed on"),
+		tomlfile.Need("data_dir", t.DataDir != "" || !t.Agreed || !slices.Contains(t.Voters, t.Name), "given for a voter where settings are agreed on"),
 		tomlfile.Need("conflict_within", t.ConflictWithin >= leastConflict && t.ConflictWithin <= mostLease, fmt.Sprintf("from %v to %v", leastConflict, mostLease)),
 		tomlfile.Need("lease", t.Lease >= t.ConflictWithin && t.Lease <= mostLease, fmt.Sprintf("from conflict_within to %v", mostLease)),
 		tomlfile.Need("clock_drift", t.ClockDrift >= 0 && t.ClockDrift <= mostDrift, fmt.Sprintf("from 0 to %v", mostDrift)),
@@ -161,7 +162,7 @@
 		said = append(said, "daemons and index by who is there")
 	}
 	if a := f.Agreed; a != nil {
-		said = append(said, fmt.Sprintf("out by hand on all, contradicting for %v at most", a.Terms.Overlap()))
+		said = append(said, fmt.Sprintf("settings agreed on, contradicting for %v at most", a.Terms.Overlap()))
 	}
 	if f.KeyFile == "" {
 		said = append(said, "no key")
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -26,6 +26,8 @@
 	Pools     []PoolSpec
 	Table     *route.Table
 	Targets   []Target // by rule of the table
+	File      *File    // that it was made of; nil: the platform's
+	Refuses   bool     // requests, where it is not sure which version others act on
 
 	BodyMemory int           // bytes; 0: bodies are held whole, and have lengths
 	Drain      time.Duration // from the signal to end until bodies that still flow are cut off
@@ -46,7 +48,7 @@
 	Source      SourceSpec
 }
 
-// SourceSpec says where a pool's members come from: exactly one of Agent, Members, File and DNS is set.
+// SourceSpec says where a pool's members come from: one of Agent, Members, File and DNS is set at most.
 type SourceSpec struct {
 	Agent   string
 	Anew    bool              // the whole list is asked for, though one is known
@@ -179,7 +181,7 @@
 
 // Service is the file in the daemon's own terms.
 func (f *File) Service() Service {
-	s := Service{Admin: f.Daemon.AdminAddr, Fleet: f.fleet(), Operators: f.operators(), BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
+	s := Service{File: f, Refuses: f.Shared.Unsure == unsureRefuse, Admin: f.Daemon.AdminAddr, Fleet: f.fleet(), Operators: f.operators(), BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
 	classes := map[string]*Class{}
 	for i := range f.Class {
 		classes[f.Class[i].Name] = &f.Class[i]
@@ -221,9 +223,13 @@
 	for _, t := range f.Tenant {
 		settings.Tenants = append(settings.Tenants, balance.Tenant{Name: t.Name, Quota: t.Quota})
 	}
+	source := SourceSpec{Agent: p.Agent, Members: p.Member, File: p.File, DNS: p.DNS, Hold: p.Hold, Damp: p.Damp}
+	if p.Members == membersAgreed { // believed as it is, and at once
+		source = SourceSpec{Members: f.agreed[p.Name]}
+	}
 	return PoolSpec{Name: p.Name, Settings: settings, Connections: p.Connections, Dial: p.DialTimeout, Idle: p.IdleTimeout, Spread: true,
 		LastByte: p.Begins == withLastByte, AnswerBytes: p.AnswerBytes, Flow: body.Pace{Idle: p.FlowIdle, Rate: p.FlowRate}, Whole: p.FlowIdle,
-		Source: SourceSpec{Agent: p.Agent, Members: p.Member, File: p.File, DNS: p.DNS, Hold: p.Hold, Damp: p.Damp}}
+		Source: source}
 }
 
 // List is a fixed list of members as a source takes it.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -59,6 +59,11 @@
 	// Of a request whose body flows: how long its answer may be waited for after the last byte; 0: to the deadline.
 	Patience time.Duration
 
+	// Guard, if set, is looked at in the event that has the module decide, and before anything of the request goes out: false, and it
+	// is refused at once, to come back after Unsure.
+	Guard  func() bool
+	Unsure time.Duration
+
 	// The loop's own:
 	over    bool            // answered, or the caller has left
 	last    upstream.Answer // of the latest attempt that ended, if it brought one
@@ -219,6 +224,10 @@
 		c.Replies <- Reply{Verdict: Duplicate}
 		return
 	}
+	if c.Guard != nil && !c.Guard() {
+		c.Replies <- Reply{Verdict: Refused, RetryAfter: c.Unsure}
+		return
+	}
 	l.calls[c.ID] = c
 	l.balancer.Request(now, c.Request)
 }
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -50,3 +50,32 @@
 		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
 	}
 }
+
+// asked notes which requests a module hears of.
+type asked struct {
+	balance.Events
+	ids []string
+}
+
+func (a *asked) Request(_ time.Duration, r balance.Request) { a.ids = append(a.ids, r.ID) }
+
+// A request whose guard says no is refused at once, and the module never hears of it; its id is free.
+func TestAGuardIsLookedAtBeforeAnythingIsDecided(t *testing.T) {
+	l := New(Module, balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	module := &asked{}
+	l.balancer = module
+	sure := false
+	c := func() *Call {
+		return &Call{Request: balance.Request{ID: "r"}, Replies: make(chan Reply, 1), Guard: func() bool { return sure }, Unsure: time.Second}
+	}
+	first := c()
+	l.Start(clockStart, first)
+	if r := <-first.Replies; r.Verdict != Refused || r.RetryAfter != time.Second || len(module.ids) > 0 {
+		t.Errorf("%+v, and the module heard of %v", r, module.ids)
+	}
+	sure = true
+	l.Start(clockStart, c())
+	if len(module.ids) != 1 {
+		t.Errorf("the module heard of %v", module.ids)
+	}
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -129,6 +129,8 @@
 		Request: balance.Request{ID: id, Class: c.Name, Tenant: tenant, Repeat: c.RetryHeader != "" && r.Header.Get(c.RetryHeader) == "1"},
 		Message: &upstream.Message{Method: r.Method, Target: target, Host: r.Host, Header: header, DeadlineName: c.DeadlineHeader},
 		Replies: make(chan core.Reply, 1),
+		Guard:   service.Guard,
+		Unsure:  service.Unsure,
 	}, t, left}, nil
 }
 
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -42,6 +42,11 @@
 	Table   *route.Table
 	Targets []Target // by rule of the table
 
+	// Guard tells, at any time, whether new requests may be decided by this Service; nil: always. One that may not is refused, to come
+	// back after Unsure.
+	Guard  func() bool
+	Unsure time.Duration
+
 	inUse sync.WaitGroup // requests that it took
 }
 
--- /dev/null
+++ b/internal/peers/agree/founding.go
@@ -0,0 +1,88 @@
+package agree
+
+import (
+	"maps"
+	"slices"
+)
+
+// Founding decides whether a first voter whose disk has no log may begin one. One that lost its disk must not: it would vote anew
+// where it has voted, and two majorities could be. Each first voter keeps a mark on its disk, drawn at its first start, and begins when it
+// has heard of all others that they have not begun, or of one that it began with this very mark. So a fleet begins when all its
+// first voters have been up at once; one that comes back without its disk has another mark, and is told so by any that has begun. Words are
+// forgotten after a round, since they may have begun meanwhile: that a disk is lost and its daemon back within one is ruled out.
+type Founding struct {
+	round uint64
+	name  string
+	mark  string
+	heard map[string]FirstWord // of the other first voters; an entry without a mark: nothing yet
+}
+
+// FirstWord is what a first voter says of its beginning.
+type FirstWord struct {
+	Begun bool              `json:"begun"`
+	Mark  string            `json:"mark"`  // its own
+	Marks map[string]string `json:"marks"` // of all, itself included, with which it began
+}
+
+// NewFounding makes one for a voter with its mark, among the first ones.
+func NewFounding(name, mark string, first []string) *Founding {
+	f := &Founding{name: name, mark: mark, heard: map[string]FirstWord{}}
+	for _, other := range first {
+		if other != name {
+			f.heard[other] = FirstWord{}
+		}
+	}
+	return f
+}
+
+// Round begins a round: all others are to be asked, and their answers to be heard with its number.
+func (f *Founding) Round() uint64 {
+	f.round++
+	for name := range f.heard {
+		f.heard[name] = FirstWord{}
+	}
+	return f.round
+}
+
+// Word is what this voter says.
+func (f *Founding) Word() FirstWord { return FirstWord{Mark: f.mark} }
+
+// Hear takes another's answer to a round.
+func (f *Founding) Hear(from string, round uint64, w FirstWord) {
+	if _, first := f.heard[from]; first && round == f.round && (w.Begun || w.Mark != "") {
+		f.heard[from] = w
+	}
+}
+
+// Silent are those that have said nothing yet.
+func (f *Founding) Silent() (names []string) {
+	for name, w := range f.heard {
+		if !w.Begun && w.Mark == "" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Verdict says with which marks this voter is to begin; nil: not yet. Lost: it never is, for others began with one of its name whose
+// disk this is not.
+func (f *Founding) Verdict() (marks map[string]string, lost bool) {
+	all := map[string]string{f.name: f.mark}
+	for name, w := range f.heard {
+		switch {
+		case w.Begun && w.Marks[f.name] != f.mark:
+			return nil, true
+		case w.Begun:
+			marks = w.Marks
+		}
+		all[name] = w.Mark
+	}
+	switch {
+	case marks != nil:
+		return maps.Clone(marks), false
+	case len(f.Silent()) > 0:
+		return nil, false
+	}
+	return all, false
+}
--- a/internal/peers/agree/lease.go
+++ b/internal/peers/agree/lease.go
@@ -1,7 +1,9 @@
 package agree
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -27,10 +29,13 @@
 
 // Request asks for a lease.
 type Request struct {
-	Daemon string
-	Seq    uint64
-	Has    uint64 // the latest version whose documents the daemon holds and can act on
-	Took   uint64 // Seq of the grant under which it acts: it never goes back to one before
+	Daemon   string
+	Seq      uint64
+	Has      uint64 // the latest version whose documents the daemon holds and can act on
+	Acts     uint64 // the version that it acts on
+	Took     uint64 // Seq of the grant under which it acts: it never goes back to one before
+	Declines uint64 `json:",omitempty"` // the latest version that it can't act on; 0: none
+	Why      string `json:",omitempty"`
 }
 
 // Grant answers a Request.
@@ -40,10 +45,41 @@
 	Docs    map[string]Document // of it, where the daemon lacks them; nil: it has them
 	Next    uint64              // that is to come: the daemon gets ready for it
 	Coming  map[string]Document
-	Lease   time.Duration
+	Lease   time.Duration // 0: none, and what the daemon had is over
+
+	Voters  []string // who is to vote, and grants leases
+	Sitting []string // who does
+
+	All  uint64 // no daemon acts on an earlier version; 0: that is not known yet
+	Lags []Lag  // who is waited for; mostLags at most
+}
+
+// Lag is a daemon that is waited for.
+type Lag struct {
+	Daemon string
+	Why    string
 }
 
-// Holder is a daemon's side of its leases. It is not safe for concurrent use.
+const (
+	mostLags = 16
+	mostWhy  = 300 // bytes
+)
+
+// Acting is what a daemon may act on: its version until an instant, and what it acted on before, until it has changed over.
+type Acting struct {
+	Version uint64
+	Docs    map[string]Document // never changed
+	Until   time.Duration
+	Before  uint64        // the version that it acted on before this one
+	Over    time.Duration // until when it may act on that
+}
+
+// May tells whether a version may be acted on at an instant.
+func (a *Acting) May(version uint64, now time.Duration) bool {
+	return version == a.Version && now < a.Until || version == a.Before && now < a.Over
+}
+
+// Holder is a daemon's side of its leases. It acts on versions alone that were checked. It is not safe for concurrent use.
 type Holder struct {
 	t     Terms
 	name  string
@@ -52,16 +88,22 @@
 	every time.Duration
 	took  uint64
 
-	version uint64 // that it acts on
-	until   time.Duration
-	docs    map[string]Document
-	next    uint64
-	coming  map[string]Document
+	acting    Acting
+	installed uint64 // the version that the daemon's other parts have taken up
+	next      uint64 // the latest that was checked, and may be acted on when it is active
+	coming    map[string]Document
+	offered   uint64 // to be checked; 0: none
+	offer     map[string]Document
+	declined  uint64
+	why       string
+
+	all  uint64
+	lags []Lag
 }
 
 // NewHolder makes a Holder without a lease, which holds the documents of a version from before a restart; 0: none.
 func NewHolder(name string, t Terms, version uint64, docs map[string]Document) *Holder {
-	return &Holder{t: t, name: name, every: min(t.Lease, t.Short) / 4, version: version, next: version, docs: docs, coming: docs}
+	return &Holder{t: t, name: name, every: min(t.Lease, t.Short) / 4, acting: Acting{Version: version, Docs: docs}, next: version, coming: docs}
 }
 
 // Ask is a request that is to be sent now, and when the next is due.
@@ -69,46 +111,83 @@
 	h.seq++
 	h.sent = now
 	again = now + h.every
-	if h.next > h.version { // sooner, while others wait for this daemon
+	if h.next > h.acting.Version || len(h.lags) > 0 { // sooner, while others wait
 		again = now + h.every/4
 	}
-	return Request{Daemon: h.name, Seq: h.seq, Has: h.next, Took: h.took}, again
+	return Request{Daemon: h.name, Seq: h.seq, Has: h.next, Acts: min(h.installed, h.acting.Version), Took: h.took, Declines: h.declined, Why: h.why}, again
 }
 
 // Granted takes an answer. Only that to the latest request counts: of earlier ones it is not known when they were sent.
 func (h *Holder) Granted(now time.Duration, g Grant) {
-	if g.Seq != h.seq || g.Version < h.version {
+	if g.Seq != h.seq || g.Version < h.acting.Version {
 		return
 	}
+	h.all, h.lags = g.All, g.Lags
+	if g.Docs != nil { // what others act on comes before what is to come
+		h.offers(g.Version, g.Docs)
+	} else {
+		h.offers(g.Next, g.Coming)
+	}
 	switch {
-	case g.Version == h.version:
-	case g.Docs != nil:
-		h.version, h.docs = g.Version, g.Docs
+	case g.Version == h.acting.Version:
 	case g.Version == h.next:
-		h.version, h.docs = h.next, h.coming
+		h.acting = Acting{Version: h.next, Docs: h.coming, Before: h.acting.Version, Over: h.acting.Until}
 	default:
-		return // it is to act on what it has not
-	}
-	if h.next < h.version {
-		h.next, h.coming = h.version, h.docs
-	}
-	if g.Coming != nil {
-		h.next, h.coming = g.Next, g.Coming
+		return // it is to act on what it has not, or not checked
 	}
 	from := h.sent
 	if h.t.FromAnswer {
 		from = now
 	}
-	h.until, h.took = from+g.Lease, g.Seq // perhaps sooner than before: a version is to come
+	h.acting.Until, h.took = from+g.Lease, g.Seq // perhaps sooner than before: a version is to come
+}
+
+// offers takes documents that are to be checked.
+func (h *Holder) offers(version uint64, docs map[string]Document) {
+	if docs != nil && version > h.next && version != h.declined && version != h.offered {
+		h.offered, h.offer = version, docs
+	}
+}
+
+// Offered is a version that is to be checked, for Checked; 0: none.
+func (h *Holder) Offered() (version uint64, docs map[string]Document) { return h.offered, h.offer }
+
+// Checked says whether this daemon can act on the version that was Offered; an error says why it can't.
+func (h *Holder) Checked(version uint64, err error) {
+	if version == 0 || version != h.offered {
+		return // another came meanwhile
+	}
+	if err != nil {
+		h.declined, h.why = version, fmt.Sprintf("%.*s", mostWhy, err.Error())
+	} else {
+		h.next, h.coming = version, h.offer
+		if h.declined <= version {
+			h.declined, h.why = 0, ""
+		}
+	}
+	h.offered, h.offer = 0, nil
 }
 
+// Recheck has what was declined looked at again when it is offered anew.
+func (h *Holder) Recheck() { h.declined, h.why = 0, "" }
+
+// Declined is the version that this daemon can't act on, and why; 0: none.
+func (h *Holder) Declined() (uint64, string) { return h.declined, h.why }
+
+// Installed says which version the daemon's other parts have taken up: until then they act on the one before.
+func (h *Holder) Installed(version uint64) { h.installed = version }
+
+// Acting is what this daemon may act on.
+func (h *Holder) Acting() Acting { return h.acting }
+
 // May tells which version the daemon may act on at an instant; false: none, for its lease has run out.
 func (h *Holder) May(now time.Duration) (version uint64, docs map[string]Document, ok bool) {
-	return h.version, h.docs, h.version > 0 && (now < h.until || h.t.NoLook)
+	a := &h.acting
+	return a.Version, a.Docs, a.Version > 0 && (now < a.Until || h.t.NoLook)
 }
 
-// Left is how long the lease lasts.
-func (h *Holder) Left(now time.Duration) time.Duration { return max(h.until-now, 0) }
+// Whole is the version before which no daemon acts any more, and the daemons that are waited for, as the leader said last.
+func (h *Holder) Whole() (all uint64, lags []Lag) { return h.all, h.lags }
 
 // Steward is the leader's side of leases, in one term. It is made anew with each.
 type Steward struct {
@@ -119,7 +198,7 @@
 
 // known is what the steward knows of a daemon.
 type known struct {
-	has    uint64
+	r      Request       // its latest
 	grants []outstanding // that it may act under, by Seq; mostGrants at most
 }
 
@@ -143,11 +222,14 @@
 		k = &known{}
 		s.known[r.Daemon] = k
 	}
-	g := Grant{Seq: r.Seq, Version: st.Active, Next: st.Coming, Lease: s.t.Lease}
+	g := Grant{Seq: r.Seq, Version: st.Active, Next: st.Coming, Lease: s.t.Lease, Voters: st.Voters(), Sitting: st.sitting()}
 	if st.Coming > st.Active {
 		g.Lease = s.t.Short
 	}
-	k.has = r.Has
+	if r.Has < st.Active || forced(st, &r) { // it can't act on what others do, or will
+		g.Lease = 0
+	}
+	k.r = r
 	k.grants = slices.DeleteFunc(k.grants, func(o outstanding) bool { return o.seq < r.Took || now >= o.end })
 	end := now + s.t.waited(g.Lease)
 	if n := len(k.grants); n >= mostGrants {
@@ -155,15 +237,24 @@
 	} else {
 		k.grants = append(k.grants, outstanding{r.Seq, end})
 	}
-	if r.Has < st.Active {
+	if r.Has < st.Active && r.Declines < st.Active {
 		g.Docs = st.Acted
 	}
-	if r.Has < st.Coming {
+	if r.Has < st.Coming && r.Declines < st.Coming {
 		g.Coming = st.Next
 	}
+	g.All = s.all(now, st)
+	if g.Lags = s.Lagging(now, st); len(g.Lags) > mostLags {
+		g.Lags = g.Lags[:mostLags]
+	}
 	return g
 }
 
+// forced tells whether a daemon goes without a lease, since a version comes on which it can't act.
+func forced(st *State, r *Request) bool {
+	return st.Coming > st.Active && st.Forced >= st.Coming && r.Has < st.Coming && r.Declines == st.Coming
+}
+
 // end is when the last lease that a daemon may hold has run out.
 func (k *known) end() (end time.Duration) {
 	for _, o := range k.grants {
@@ -172,6 +263,9 @@
 	return end
 }
 
+// settled tells whether all that predecessors granted has run out.
+func (s *Steward) settled(now time.Duration) bool { return now >= s.since+s.t.waited(s.t.Lease) }
+
 // Activate tells which version is to be activated now; 0: none. Each daemon that may hold a lease must have what comes, and
 // hold short leases only; one that does not is waited for until its lease has certainly run out.
 func (s *Steward) Activate(now time.Duration, st *State) uint64 {
@@ -180,27 +274,80 @@
 		return 0
 	case s.t.NoWait:
 		return st.Coming
-	case now < s.since+s.t.waited(s.t.Lease) || len(s.Lagging(now, st)) > 0:
+	case !s.settled(now):
 		return 0
 	}
+	for _, k := range s.known {
+		if s.waits(now, st, k) != "" {
+			return 0
+		}
+	}
 	return st.Coming
 }
 
-// Lagging are the daemons that are waited for.
-func (s *Steward) Lagging(now time.Duration, st *State) (names []string) {
-	for name, k := range s.known {
-		end := k.end()
-		if now >= end {
-			delete(s.known, name)
-		} else if k.has < st.Coming || end > now+s.t.waited(s.t.Short) {
-			names = append(names, name)
+// Skip tells which version is to give way to a later one; 0: none. It is one that some daemon can't act on, that nobody has
+// forced, and after which something else was put: no daemon ever acts on it.
+func (s *Steward) Skip(now time.Duration, st *State) uint64 {
+	if st.Coming == st.Active || st.Version == st.Coming || st.Forced >= st.Coming {
+		return 0
+	}
+	for _, k := range s.known {
+		if k.r.Declines == st.Coming && k.r.Has < st.Coming && now < k.end() {
+			return st.Coming
+		}
+	}
+	return 0
+}
+
+// waits says why a version that comes waits for a daemon; empty: it does not.
+func (s *Steward) waits(now time.Duration, st *State, k *known) string {
+	end := k.end()
+	switch {
+	case now >= end:
+		return ""
+	case forced(st, &k.r):
+		return fmt.Sprintf("it can't act on version %d, which was forced: its lease ends", st.Coming)
+	case k.r.Has < st.Coming && k.r.Declines == st.Coming:
+		return fmt.Sprintf("it can't act on version %d: %s", st.Coming, k.r.Why)
+	case k.r.Has < st.Coming:
+		return fmt.Sprintf("it has not got version %d", st.Coming)
+	case end > now+s.t.waited(s.t.Short):
+		return "it may have a long lease"
+	}
+	return ""
+}
+
+// all is the version before which no daemon acts; 0: not known, since a predecessor's leases may last.
+func (s *Steward) all(now time.Duration, st *State) uint64 {
+	if !s.settled(now) {
+		return 0
+	}
+	all := st.Active
+	for _, k := range s.known {
+		if now < k.end() {
+			all = min(all, k.r.Acts)
 		}
 	}
-	slices.Sort(names)
-	return names
+	return all
 }
 
-// Lease is the version that the daemon may act on, its documents, and until when.
-func (h *Holder) Lease() (version uint64, docs map[string]Document, until time.Duration) {
-	return h.version, h.docs, h.until
+// Lagging are the daemons that are waited for, by name: before a version is activated, and until they act on the one that was.
+// Who has certainly no lease is forgotten.
+func (s *Steward) Lagging(now time.Duration, st *State) (lags []Lag) {
+	for name, k := range s.known {
+		why := ""
+		switch {
+		case now >= k.end():
+			delete(s.known, name)
+		case st.Coming > st.Active:
+			why = s.waits(now, st, k)
+		case k.r.Acts < st.Active:
+			why = fmt.Sprintf("it acts on version %d yet", k.r.Acts)
+		}
+		if why != "" {
+			lags = append(lags, Lag{name, why})
+		}
+	}
+	slices.SortFunc(lags, func(a, b Lag) int { return strings.Compare(a.Daemon, b.Daemon) })
+	return lags
 }
--- /dev/null
+++ b/internal/peers/agree/seats.go
@@ -0,0 +1,190 @@
+package agree
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
+	"google.golang.org/protobuf/proto"
+)
+
+// A change of voters is two steps. A command says who is to vote (State.Seats); no two such commands are under way at once. Whoever
+// leads then brings raft's own configuration there, one change at a time: who is new learns the log first, and votes when it has
+// it; a leader whose own seat is gone hands the lead on first. Ids are never given twice: who comes back with an empty disk is
+// another voter, and what the one before has promised stays promised.
+
+// MostSeats is how many may vote.
+const MostSeats = 7
+
+// SeatChange has a daemon vote, or no longer.
+type SeatChange struct {
+	Name string `json:"name"`
+	Out  bool   `json:"out,omitempty"`
+}
+
+// ErrSeats is why the voters stay as they are.
+var ErrSeats = errors.New("the voters stay as they are")
+
+// found gives the first voters their seats.
+func (s *State) found(names []string) {
+	s.Seats, s.Sitting, s.LastSeat = map[uint64]string{}, map[uint64]bool{}, uint64(len(names))
+	for i, name := range slices.Sorted(slices.Values(names)) {
+		s.Seats[uint64(i+1)], s.Sitting[uint64(i+1)] = name, true
+	}
+}
+
+// SeatOf is the id of a voter that is, or is to be; 0: there is none of this name.
+func (s *State) SeatOf(name string) uint64 {
+	for id, n := range s.Seats {
+		if n == name {
+			return id
+		}
+	}
+	return 0
+}
+
+// NameOf is the name of a voter, one that is about to leave included; empty: there is none of this id.
+func (s *State) NameOf(id uint64) string { return cmp.Or(s.Seats[id], s.Leaving[id]) }
+
+// Voters are the names of those who are to vote, in order.
+func (s *State) Voters() []string { return slices.Sorted(maps.Values(s.Seats)) }
+
+// sitting are the names of those who vote.
+func (s *State) sitting() (names []string) {
+	for id := range s.Sitting {
+		names = append(names, s.NameOf(id))
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) seat(c *SeatChange) (Answer, error) {
+	id := s.SeatOf(c.Name)
+	switch {
+	case (id == 0) == c.Out:
+		return Answer{Version: s.Version, Same: true}, nil
+	case c.Out && !s.Sitting[id]: // it never came
+	case s.under() != "":
+		return Answer{}, fmt.Errorf("%w: %s", ErrSeats, s.under())
+	case c.Out && len(s.Seats) == 1:
+		return Answer{}, fmt.Errorf("%w: %s is the last", ErrSeats, c.Name)
+	case !c.Out && len(s.Seats) >= MostSeats:
+		return Answer{}, fmt.Errorf("%w: there are %d already", ErrSeats, MostSeats)
+	}
+	s.Seats = maps.Clone(s.Seats)
+	if c.Out {
+		s.Leaving = map[uint64]string{}
+		if s.Sitting[id] {
+			s.Leaving[id] = c.Name
+		}
+		delete(s.Seats, id)
+	} else {
+		s.LastSeat++
+		s.Seats[s.LastSeat] = c.Name
+	}
+	return Answer{Version: s.Version}, nil
+}
+
+// under says which change of voters is under way; empty: none.
+func (s *State) under() string {
+	for id, name := range s.Seats {
+		if !s.Sitting[id] {
+			return name + " has yet to learn what is agreed on"
+		}
+	}
+	for _, name := range s.Leaving {
+		return name + " has yet to leave"
+	}
+	return ""
+}
+
+// reconfigure applies a change of raft's configuration.
+func (v *Voter) reconfigure(e *raftpb.Entry) {
+	cc := &raftpb.ConfChange{}
+	if err := proto.Unmarshal(e.GetData(), cc); err != nil {
+		panic(fmt.Sprintf("an entry of raft's own: %v", err)) // which was checked by its digest
+	}
+	v.conf = v.raft.ApplyConfChange(cc)
+	v.newcomer = v.newcomer || cc.GetType() == raftpb.ConfChangeType_ConfChangeAddLearnerNode
+	sitting := map[uint64]bool{}
+	for _, id := range v.conf.GetVoters() {
+		sitting[id] = true
+	}
+	v.state.Sitting, v.state.Leaving = sitting, maps.Clone(v.state.Leaving)
+	maps.DeleteFunc(v.state.Leaving, func(id uint64, _ string) bool { return !sitting[id] })
+}
+
+// reconcile brings raft's configuration a step nearer to the seats. raft itself drops a change while another is not yet applied.
+func (v *Voter) reconcile() {
+	if v.steward == nil {
+		return
+	}
+	learners := map[uint64]bool{}
+	var ready uint64
+	last, _ := v.store.LastIndex()
+	v.raft.WithProgress(func(id uint64, kind raft.ProgressType, p tracker.Progress) {
+		if kind == raft.ProgressTypeLearner {
+			if learners[id] = true; p.RecentActive && p.Match+nearlyThere >= last {
+				ready = id
+			}
+		}
+	})
+	for id := range v.state.Seats {
+		if !v.state.Sitting[id] && !learners[id] {
+			v.propose(raftpb.ConfChangeType_ConfChangeAddLearnerNode, id)
+			return
+		}
+	}
+	if v.state.Seats[ready] != "" {
+		v.propose(raftpb.ConfChangeType_ConfChangeAddNode, ready)
+		return
+	}
+	for _, ids := range []map[uint64]bool{learners, v.state.Sitting} {
+		for id := range ids {
+			if v.state.Seats[id] == "" {
+				v.removeSeat(id)
+				return
+			}
+		}
+	}
+}
+
+// nearlyThere is by how many entries a learner may be behind that is to vote: it gets them with the next messages.
+const nearlyThere = 16
+
+func (v *Voter) removeSeat(id uint64) {
+	if id != v.c.ID {
+		v.propose(raftpb.ConfChangeType_ConfChangeRemoveNode, id)
+		return
+	}
+	for other := range v.state.Seats {
+		if v.state.Sitting[other] {
+			v.raft.TransferLeader(other)
+			return
+		}
+	}
+}
+
+func (v *Voter) propose(kind raftpb.ConfChangeType, id uint64) {
+	_ = v.raft.ProposeConfChange(&raftpb.ConfChange{Type: kind.Enum(), NodeId: &id}) // dropped, it is proposed again
+}
+
+// Learns tells whether this voter does not vote yet.
+func (v *Voter) Learns() bool { return !v.state.Sitting[v.c.ID] }
+
+// firstState is what the first snapshot holds.
+func firstState(names []string) []byte {
+	s := NewState()
+	s.found(names)
+	b, err := json.Marshal(stored{State: *s})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- a/internal/peers/agree/voter.go
+++ b/internal/peers/agree/voter.go
@@ -18,12 +18,12 @@
 const (
 	recordState byte = 'h' // raft's hard state: term, vote, commit
 	recordEntry byte = 'e'
+	recordMark  byte = 'm' // nothing: a snapshot that came from another voter stands for all up to here
 )
 
 // Config is fixed for a voter's life.
 type Config struct {
-	ID    uint64   // of this voter; 0 is none
-	Peers []uint64 // of all voters, this one included
+	ID    uint64 // of this voter; 0 is none
 	Beat  time.Duration
 	Seed  uint64
 	Terms Terms
@@ -40,11 +40,13 @@
 
 // Voter is one of those who agree. It is not safe for concurrent use.
 type Voter struct {
-	c     Config
-	raft  *raft.RawNode
-	store *raft.MemoryStorage
-	state *State
-	rng   *rand.Rand
+	c        Config
+	raft     *raft.RawNode
+	store    *raft.MemoryStorage
+	state    *State
+	conf     *raftpb.ConfState
+	newcomer bool // a snapshot is wanted that names one: raft gives it no other
+	rng      *rand.Rand
 
 	leads      bool
 	term       uint64
@@ -58,16 +60,17 @@
 	round    uint64 // of confirmations
 	asked    []waiting
 	ready    []waiting // confirmed at an index that is not yet applied
-	proposed uint64    // version whose activation is in the log, in this term
+	proposed uint64    // version whose activation, or giving way, is in the log, in this term
 	Results  []Result  // of commands that were applied since they were taken last, in order
 	Grants   []To      // answers that are to go
+	Stopped  error     // why this voter must not go on; nothing that it gives is to be used then
 }
 
 // Result is what became of a command.
 type Result struct {
-	ID      string
-	Version uint64
-	Err     error
+	ID string
+	Answer
+	Err error
 }
 
 // To is a Grant, and to whom it goes.
@@ -101,10 +104,14 @@
 // Disk is what a durable log gave when it was opened: Restore and Replay take it up, before NewVoter.
 type Disk struct{ store *raft.MemoryStorage }
 
-// NewDisk is an empty one, of a fleet whose voters are these.
-func NewDisk(peers []uint64) (*Disk, error) {
+// NewDisk is an empty one, of a fleet whose first voters are these; none: of a voter that joins one, and knows nothing yet. The
+// first voters' ids are their places in order, from 1.
+func NewDisk(names []string) (*Disk, error) {
 	d := &Disk{store: raft.NewMemoryStorage()}
-	return d, d.store.ApplySnapshot(first(peers))
+	if len(names) == 0 {
+		return d, nil
+	}
+	return d, d.store.ApplySnapshot(first(names))
 }
 
 // Restore takes a snapshot's body.
@@ -121,7 +128,7 @@
 	if err := errors.Join(proto.Unmarshal(parts[0], hard), proto.Unmarshal(parts[1], snap)); err != nil {
 		return err
 	}
-	if snap.GetMetadata().GetIndex() > firstIndex {
+	if was, _ := d.store.Snapshot(); snap.GetMetadata().GetIndex() > was.GetMetadata().GetIndex() {
 		if err := d.store.ApplySnapshot(snap); err != nil {
 			return err
 		}
@@ -145,6 +152,8 @@
 		return d.store.SetHardState(hard)
 	case recordEntry:
 		return d.entry(payload)
+	case recordMark:
+		return nil
 	}
 	return fmt.Errorf("a record of type %q", kind)
 }
@@ -154,6 +163,9 @@
 	if err := proto.Unmarshal(b, e); err != nil {
 		return err
 	}
+	if last, err := d.store.LastIndex(); err != nil || e.GetIndex() > last+1 {
+		return errors.Join(err, fmt.Errorf("entry %d follows entry %d", e.GetIndex(), last))
+	}
 	return d.store.Append([]*raftpb.Entry{e}) // in place of those that it overrides
 }
 
@@ -186,14 +198,31 @@
 func (quiet) Infof(string, ...any)      {}
 func (quiet) Warning(...any)            {}
 func (quiet) Warningf(string, ...any)   {}
-func (quiet) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
-func (quiet) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
-func (quiet) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
-func (quiet) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+func (quiet) Fatal(v ...any)            { panic(cantGoOn(fmt.Sprint(v...))) }
+func (quiet) Fatalf(f string, v ...any) { panic(cantGoOn(fmt.Sprintf(f, v...))) }
+func (quiet) Panic(v ...any)            { panic(cantGoOn(fmt.Sprint(v...))) }
+func (quiet) Panicf(f string, v ...any) { panic(cantGoOn(fmt.Sprintf(f, v...))) }
+
+// cantGoOn is what raft panics with where its log contradicts what others say: a disk that lost what it had promised, or that of
+// an earlier day. The daemon must not end with it.
+type cantGoOn string
+
+// guard turns that into the end of this voter alone.
+func (v *Voter) guard() {
+	switch p := recover().(type) {
+	case nil:
+	case cantGoOn:
+		v.Stopped = fmt.Errorf("its log lacks what it had promised, as that of an earlier day would: %s", p)
+	default:
+		panic(p)
+	}
+}
 
 // NewVoter makes a voter of what its disk gave.
-func NewVoter(now time.Duration, c Config, d *Disk) (*Voter, error) {
+func NewVoter(now time.Duration, c Config, d *Disk) (_ *Voter, err error) {
 	v := &Voter{c: c, store: d.store, state: NewState(), rng: rand.New(rand.NewPCG(c.Seed, c.ID)), heardAt: now, beatAt: now}
+	defer func() { err = errors.Join(err, v.Stopped) }()
+	defer v.guard()
 	snap, err := d.store.Snapshot()
 	if err != nil {
 		return nil, err
@@ -211,20 +240,28 @@
 }
 
 // first is the snapshot with which all voters begin: it names them.
-func first(peers []uint64) *raftpb.Snapshot {
+func first(names []string) *raftpb.Snapshot {
 	index, term := uint64(firstIndex), uint64(1)
-	return &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term, ConfState: &raftpb.ConfState{Voters: peers}}}
+	var peers []uint64
+	for i := range names {
+		peers = append(peers, uint64(i+1))
+	}
+	return &raftpb.Snapshot{Data: firstState(names), Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term, ConfState: &raftpb.ConfState{Voters: peers}}}
 }
 
 const firstIndex = 1
 
 func (v *Voter) restore(snap *raftpb.Snapshot) error {
 	v.applied, v.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
-	v.state = NewState()
+	v.state, v.conf = NewState(), snap.GetMetadata().GetConfState()
 	if len(snap.GetData()) == 0 {
 		return nil
 	}
-	return json.Unmarshal(snap.GetData(), v.state)
+	state, err := DecodeState(snap.GetData())
+	if err == nil {
+		v.state = state
+	}
+	return err
 }
 
 // later draws when this voter stands for election, if it hears of no leader: so that few do at once. raft's own draw has no
@@ -253,12 +290,14 @@
 
 // Tick does what is due.
 func (v *Voter) Tick(now time.Duration) {
+	defer v.guard()
 	if v.leads {
 		if now >= v.beatAt {
 			v.beatAt = now + v.c.Beat
 			v.raft.Tick()
 			v.confirm()
 			v.activate(now)
+			v.reconcile()
 		}
 		return
 	}
@@ -274,6 +313,7 @@
 
 // Receive takes a message of another voter.
 func (v *Voter) Receive(now time.Duration, m *raftpb.Message) {
+	defer v.guard()
 	switch m.GetType() {
 	case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
 		if m.GetTerm() >= v.term {
@@ -286,6 +326,7 @@
 
 // Propose has a command agreed on; an error says that this voter can't see to it, and nothing was done.
 func (v *Voter) Propose(c *Command) error {
+	defer v.guard()
 	b, err := c.Encode()
 	if err != nil {
 		return err
@@ -298,6 +339,7 @@
 
 // Ask takes a request for a lease. It is answered (Grants) when a majority has confirmed that this voter leads.
 func (v *Voter) Ask(r Request) error {
+	defer v.guard()
 	if !v.leads || v.steward == nil || len(v.asked)+len(v.ready) >= mostWaiting {
 		return ErrNotLeader
 	}
@@ -329,12 +371,17 @@
 		if v.Propose(&Command{Activate: version}) == nil {
 			v.proposed = version
 		}
+	} else if version := v.steward.Skip(now, v.state); version > v.proposed {
+		if v.Propose(&Command{Skip: version}) == nil {
+			v.proposed = version
+		}
 	}
 }
 
-// Output is what is to be done now; nil: nothing. It must be done, and Done called, before anything else is.
+// Output is what is to be done now; nil: nothing. It must be done before anything else is.
 func (v *Voter) Output(now time.Duration) *Out {
-	if !v.raft.HasReady() {
+	defer v.guard()
+	if v.Stopped != nil || !v.raft.HasReady() {
 		return nil
 	}
 	rd := v.raft.Ready()
@@ -362,14 +409,21 @@
 		v.confirmed(binary.BigEndian.Uint64(r.RequestCtx), r.Index)
 	}
 	for _, e := range rd.CommittedEntries {
-		v.apply(e)
+		if v.apply(e); v.Stopped != nil {
+			return nil // and nothing that was made of it goes out
+		}
 	}
 	if v.leads && v.steward == nil && v.caughtUp() {
 		v.steward = NewSteward(now, v.c.Terms)
 	}
 	v.grant(now)
-	if !raft.IsEmptySnap(rd.Snapshot) || v.applied >= v.snapped+snapAfter {
-		out.Snapshot = v.snap()
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		// It stands for what the log lacks, and has the hard state and the entries that came with it: in records of their own they
+		// would be sure before it is, and a loss of power between would leave a log with a gap.
+		out.Records = []Record{{recordMark, nil}}
+	}
+	if !raft.IsEmptySnap(rd.Snapshot) || v.applied >= v.snapped+snapAfter || v.newcomer {
+		out.Snapshot, v.newcomer = v.snap(), false
 	}
 	v.raft.Advance(rd)
 	return out
@@ -430,27 +484,31 @@
 
 func (v *Voter) apply(e *raftpb.Entry) {
 	v.applied = e.GetIndex()
+	if e.GetType() == raftpb.EntryType_EntryConfChange {
+		v.reconfigure(e)
+		return
+	}
 	if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 {
 		return
 	}
 	var c Command
 	_ = json.Unmarshal(e.GetData(), &c) // Apply says what is wrong
-	version, err := v.state.Apply(e.GetData())
-	v.Results = append(v.Results, Result{c.ID, version, err})
+	answer, err := v.state.Apply(e.GetData())
+	if errors.Is(err, ErrLater) {
+		v.Stopped = fmt.Errorf("at %d: %w", v.applied, err)
+		return
+	}
+	v.Results = append(v.Results, Result{c.ID, answer, err})
 }
 
 // snap makes a snapshot of what is applied, with what the log has beyond it.
 func (v *Voter) snap() *Snap {
-	data, err := json.Marshal(v.state)
+	data, err := v.state.Encode()
 	if err != nil {
 		panic(err)
 	}
 	if v.applied > v.snapped {
-		_, conf, err := v.store.InitialState()
-		if err == nil {
-			_, err = v.store.CreateSnapshot(v.applied, conf, data)
-		}
-		if err != nil {
+		if _, err := v.store.CreateSnapshot(v.applied, v.conf, data); err != nil {
 			panic(fmt.Sprintf("a snapshot at %d: %v", v.applied, err))
 		}
 		if keep := v.applied - min(v.applied, snapAfter/2); keep > v.snapped { // who is little behind needs no snapshot
@@ -482,10 +540,13 @@
 	v.raft.ReportSnapshot(to, status)
 }
 
-// Lagging are the daemons that a leader waits for before it activates what is to come.
-func (v *Voter) Lagging(now time.Duration) []string {
-	if v.steward == nil || v.state.Coming == v.state.Active {
+// Lagging are the daemons that a leader waits for, and why.
+func (v *Voter) Lagging(now time.Duration) []Lag {
+	if v.steward == nil {
 		return nil
 	}
 	return v.steward.Lagging(now, v.state)
 }
+
+// Term is the latest that this voter has seen.
+func (v *Voter) Term() uint64 { return v.raft.BasicStatus().GetTerm() }
--- /dev/null
+++ b/internal/peers/chamber/found.go
@@ -0,0 +1,95 @@
+package chamber
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"tuliprock/internal/peers/agree"
+	"tuliprock/internal/peers/link"
+)
+
+// markName is a file that holds the mark of a first voter's disk, drawn at its first start (agree.Founding).
+const markName = "MARK"
+
+const (
+	foundEvery = 300 * time.Millisecond // between two rounds of asking the other first voters
+	foundSaid  = 10 * time.Second       // after which it is said who does not answer
+)
+
+// foundParcel is a word between first voters: one that has yet to begin asks, all answer.
+type foundParcel struct {
+	Round uint64          `json:"round"`
+	Asks  bool            `json:"asks"`
+	Word  agree.FirstWord `json:"word"`
+}
+
+// mark is that of this daemon's disk.
+func (c *Chamber) mark() (string, error) {
+	text, err := read(c.o.Disk, markName, mostIdentity)
+	if err != nil || len(text) > 0 {
+		return strings.TrimSpace(string(text)), err
+	}
+	mark := rand.Text()
+	return mark, replace(c.o.Disk, markName, []byte(mark+"\n"))
+}
+
+// found asks the other first voters whether they have begun.
+func (c *Chamber) found(now time.Duration) {
+	c.foundAt = now + foundEvery
+	if silent := c.founding.Silent(); now > c.began+foundSaid && !c.lost && len(silent) > 0 {
+		c.lost = true
+		c.o.Log.Warn("this daemon votes when all first voters have been up at once", "silent", strings.Join(silent, " "))
+	}
+	p := foundParcel{Round: c.founding.Round(), Asks: true, Word: c.founding.Word()}
+	for _, name := range c.o.Voters {
+		if name != c.o.Name {
+			c.sendFound(name, p)
+		}
+	}
+	c.decideFound(now)
+}
+
+func (c *Chamber) sendFound(to string, p foundParcel) {
+	if body, err := json.Marshal(p); err == nil {
+		_ = c.o.Carrier.Send(to, kindFound, body)
+	}
+}
+
+// hearFound takes another's word, and answers one that asks. Who never began, and is not about to, says nothing.
+func (c *Chamber) hearFound(now time.Duration, parcel link.Parcel) {
+	var p foundParcel
+	if json.Unmarshal(parcel.Body, &p) != nil || !slices.Contains(c.o.Voters, parcel.From) {
+		return
+	}
+	switch {
+	case p.Asks && c.word != nil:
+		c.sendFound(parcel.From, foundParcel{Round: p.Round, Word: *c.word})
+	case p.Asks && c.founding != nil:
+		c.sendFound(parcel.From, foundParcel{Round: p.Round, Word: c.founding.Word()})
+	case !p.Asks && c.founding != nil:
+		c.founding.Hear(parcel.From, p.Round, p.Word)
+		c.decideFound(now)
+	}
+}
+
+// decideFound begins as a first voter, or never will.
+func (c *Chamber) decideFound(now time.Duration) {
+	marks, lost := c.founding.Verdict()
+	switch {
+	case lost:
+		c.o.Log.Error("this daemon does not vote", "err", errLost)
+		c.founding, c.lost = nil, true
+	case marks != nil:
+		first := slices.Sorted(slices.Values(c.o.Voters))
+		is := &identity{name: c.o.Name, first: first, id: uint64(slices.Index(first, c.o.Name) + 1), founded: foundedBy(first), marks: marks}
+		c.founding, c.word = nil, &agree.FirstWord{Begun: true, Marks: marks}
+		var err error
+		if c.seat, err = c.begin(now, is); err != nil {
+			c.left = true
+			c.o.Log.Error("this daemon can't vote", "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/chamber/keep.go
@@ -0,0 +1,114 @@
+package chamber
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"tuliprock/internal/peers/agree"
+	"tuliprock/internal/wal"
+)
+
+// keptName is the file in which a daemon keeps what it acted on last: a line with the SHA-256 of the rest, and the rest as JSON.
+// It is replaced whole. What it says is no lease: it is what a daemon goes on with that starts and hears of no voter.
+const keptName = "ACTED"
+
+const temporary = ".new" // ends the name of a file that is to replace another
+
+type kept struct {
+	Version uint64                    `json:"version"`
+	Docs    map[string]agree.Document `json:"docs"`
+	Voters  []string                  `json:"voters"`
+}
+
+// keep keeps what this daemon acts on. A disk that fails costs no more than that.
+func (c *Chamber) keep(a Acting, voters []string) {
+	if c.kept, c.keptVoters = a.Version, voters; c.o.Keep == nil {
+		return
+	}
+	body, err := json.Marshal(kept{a.Version, a.Docs, voters})
+	if err == nil {
+		err = replace(c.o.Keep, keptName, fmt.Appendf(nil, "%x\n%s", sha256.Sum256(body), body))
+	}
+	if err != nil {
+		c.o.Log.Warn("what is acted on can't be kept for the next start", "version", a.Version, "err", err)
+	}
+}
+
+// remembered is what was kept; nothing where there is none, or it is damaged, or this daemon can't act on it any more.
+func (c *Chamber) remembered() (uint64, map[string]agree.Document) {
+	if c.o.Keep == nil {
+		return 0, nil
+	}
+	k, err := readKept(c.o.Keep)
+	if err == nil && k != nil && c.o.Check != nil {
+		err = c.o.Check(k.Docs)
+	}
+	if err != nil {
+		c.o.Log.Warn("what was acted on before the start can't be used", "err", err)
+	}
+	if k == nil || err != nil {
+		return 0, nil
+	}
+	c.kept, c.keptVoters = k.Version, k.Voters
+	c.learnVoters(k.Voters, true)
+	return k.Version, k.Docs
+}
+
+func readKept(fs wal.FS) (*kept, error) {
+	text, err := read(fs, keptName, mostKept)
+	if text == nil || err != nil {
+		return nil, err
+	}
+	sum := fmt.Sprintf("%x\n", sha256.Sum256(text[min(len(text), sumSize):]))
+	if len(text) < sumSize || string(text[:sumSize]) != sum {
+		return nil, fmt.Errorf("%s is damaged", keptName)
+	}
+	k := &kept{}
+	return k, json.Unmarshal(text[sumSize:], k)
+}
+
+const (
+	sumSize  = 2*sha256.Size + 1
+	mostKept = 2 * agree.MostBodies // bytes: base64, and the names
+)
+
+// read reads a file whole; nil: it is not there. One that is longer than most is cut.
+func read(fs wal.FS, name string, most int64) ([]byte, error) {
+	names, err := fs.List()
+	if err != nil || !slices.Contains(names, name) {
+		return nil, err
+	}
+	f, err := fs.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, min(size, most))
+	if n, err := f.ReadAt(b, 0); n < len(b) {
+		return nil, err
+	}
+	return b, nil
+}
+
+// replace puts a file in the place of the one of its name, or leaves that as it was.
+func replace(fs wal.FS, name string, text []byte) error {
+	temp := name + temporary
+	f, err := fs.Create(temp)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(text); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err := errors.Join(f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return errors.Join(fs.Rename(temp, name), fs.SyncDir())
+}
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -31,7 +31,7 @@
 	parcelsSize  = 256              // that wait for the part that they are for
 	mostStreams  = 8                // each way
 	streamTime   = 2 * time.Second  // for a stream, from the dial to the last byte
-	mostStream   = 4 << 20          // bytes: swim.MostMembers updates have 1.9 MB at most
+	mostStream   = 8 << 20          // bytes: a snapshot of what is agreed has 7 MiB at most, swim.MostMembers updates 1.9 MB
 	mostFromOne  = 1000             // datagrams a second from one address; a member sends some tens
 	mostSources  = 4096             // addresses that are counted apart; what is beyond counts together
 	spread       = time.Second / 10 // between two views, in a fleet of fewMembers and more: each is a copy of all members
--- a/internal/peers/report/report.go
+++ b/internal/peers/report/report.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -70,18 +71,18 @@
 // Ask calls a daemon's operators' address. All of it takes no longer than within.
 func Ask(at string, within time.Duration) (*Fleet, error) {
 	f := &Fleet{Format: 1}
-	return f, ask(at, "peers", within, f.take)
+	return f, ask(at, "peers", nil, within, f.take)
 }
 
-// ask makes a call and hands on the lines of its answer.
-func ask(at, call string, within time.Duration, take func(line string) error) error {
+// ask makes a call, with a body behind its line, and hands on the lines of its answer.
+func ask(at, call string, body []byte, within time.Duration, take func(line string) error) error {
 	nc, err := net.DialTimeout("tcp", at, within)
 	if err != nil {
 		return err
 	}
 	defer nc.Close()
 	_ = nc.SetDeadline(time.Now().Add(within))
-	if _, err := io.WriteString(nc, call+"\n"); err != nil {
+	if _, err := nc.Write(append([]byte(call+"\n"), body...)); err != nil {
 		return err
 	}
 	if err := lines(nc, take); err != nil {
@@ -141,6 +142,9 @@
 	return nil
 }
 
+// escaped is a text of more than a word.
+type escaped string
+
 func put(to any, value string) (err error) {
 	switch to := to.(type) {
 	case *string:
@@ -151,6 +155,10 @@
 		*to, err = strconv.ParseInt(value, 10, 64)
 	case *bool:
 		*to, err = strconv.ParseBool(value)
+	case *escaped:
+		var text string
+		text, err = url.QueryUnescape(value)
+		*to = escaped(text)
 	case *uint64:
 		*to, err = strconv.ParseUint(value, 10, 64)
 	}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tuliprock/internal/config"
@@ -32,7 +33,11 @@
 	stop func()
 	done sync.WaitGroup
 
-	chamber *chamber.Chamber // nil: nothing is agreed on
+	chamber *chamber.Chamber            // nil: nothing is agreed on
+	own     atomic.Pointer[config.File] // this daemon's own file, as it was read last
+	refused atomic.Uint64               // requests, since it was not sure which version others act on
+
+	isOut map[string]bool // endpoints that are out by agreement, as heed saw them last
 
 	mu             sync.Mutex
 	divides        bool
@@ -55,7 +60,8 @@
 	return o, nil
 }
 
-func startFleet(f *config.FleetSpec, log *slog.Logger) (*fleet, error) {
+func startFleet(c config.Service, log *slog.Logger) (*fleet, error) {
+	f := c.Fleet
 	if f == nil {
 		return nil, nil
 	}
@@ -69,8 +75,9 @@
 	}
 	log.Info("in a fleet", "cluster", f.Cluster, "addr", l.Addr())
 	t := &fleet{link: l, log: log, spec: *f, divides: f.Divide, pools: map[*pool]bool{}}
+	t.own.Store(c.File)
 	if f.Agreed != nil {
-		if t.chamber, err = openChamber(f, l, log); err != nil {
+		if t.chamber, err = t.openChamber(); err != nil {
 			return nil, errors.Join(fmt.Errorf("fleet.data_dir: %w", err), l.Kill())
 		}
 	}
@@ -80,45 +87,55 @@
 	return t, nil
 }
 
-func openChamber(f *config.FleetSpec, l *link.Link, log *slog.Logger) (*chamber.Chamber, error) {
-	o := chamber.Options{Name: f.Name, Voters: f.Voters, Terms: f.Agreed.Terms, Carrier: l, Now: l.Now, Log: log}
+func (t *fleet) openChamber() (*chamber.Chamber, error) {
+	f := t.spec
+	o := chamber.Options{Name: f.Name, Voters: f.Voters, Terms: f.Agreed.Terms, Carrier: t.link, Now: t.link.Now, Log: t.log, Installs: true,
+		Check: func(docs map[string]agree.Document) error { return t.own.Load().CanAct(bodies(docs)) }}
 	if f.Agreed.DataDir != "" {
 		disk, err := wal.Dir(f.Agreed.DataDir)
 		if err != nil {
 			return nil, err
 		}
-		o.Disk = disk
+		o.Keep, o.Disk = disk, disk
 	}
 	return chamber.Start(o)
 }
 
-// outPrefix begins the names of documents that say that an endpoint is out by hand. Their bodies are empty.
-const outPrefix = "out/"
-
 // firstGrant is how long a daemon that starts waits to hear what is agreed before it takes callers: two elections.
 const firstGrant = 2 * time.Second
 
-// heed makes what is agreed to be out be out here, before the first caller is taken, and from then on.
-func (t *fleet) heed(h *hands) {
-	if t == nil || t.chamber == nil {
+// hear waits for what is agreed, and makes what is out by it be out here, before the first caller is taken.
+func (t *fleet) hear(h *hands) {
+	if !t.agrees() {
 		return
 	}
 	select {
 	case <-t.chamber.First():
 	case <-time.After(firstGrant):
-		t.log.Warn("no voter has said what is agreed; callers are taken without", "after", firstGrant)
+		a, _ := t.chamber.May()
+		t.log.Warn("no voter has said what is agreed; what is known from before holds", "after", firstGrant, "version", a.Version)
+	}
+	t.isOut = h.agreed(context.Background(), nil, t.out())
+}
+
+// heed takes up what is agreed from then on.
+func (t *fleet) heed(s *Sidecar) {
+	if !t.agrees() {
+		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	was := t.stop
 	t.stop = func() { stop(); was() }
-	out := h.agreed(ctx, nil, t.out())
 	t.done.Go(func() {
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.chamber.Changed():
-				out = h.agreed(ctx, out, t.out())
+				t.isOut = s.hands.agreed(ctx, t.isOut, t.out())
+				if err := s.renew(); err != nil && !errors.Is(err, errEnding) {
+					t.log.Error("what is agreed on is not taken up", "err", err)
+				}
 			}
 		}
 	})
@@ -129,7 +146,7 @@
 	out := map[string]bool{}
 	a, _ := t.chamber.May()
 	for name := range a.Docs {
-		if id, ok := strings.CutPrefix(name, outPrefix); ok {
+		if id, ok := strings.CutPrefix(name, config.OutPrefix); ok {
 			out[id] = true
 		}
 	}
@@ -138,12 +155,12 @@
 
 // agreeOn has what a call has done here done on all, and says what became of that.
 func (t *fleet) agreeOn(ctx context.Context, id string, out bool) string {
-	if t == nil || t.chamber == nil {
+	if !t.agrees() {
 		return ""
 	}
-	c := agree.Command{By: t.spec.Name, Remove: outPrefix + id}
+	c := agree.Command{By: t.spec.Name, At: time.Now().UnixMilli(), Remove: config.OutPrefix + id}
 	if out {
-		c.Remove, c.Put = "", &agree.PutDoc{Name: outPrefix + id}
+		c.Remove, c.Put = "", &agree.PutDoc{Name: config.OutPrefix + id}
 	}
 	version, err := t.chamber.Put(ctx, c)
 	if err != nil {
@@ -154,13 +171,10 @@
 
 // settings writes what is agreed, as this daemon acts on it.
 func (t *fleet) settings(w io.Writer) error {
-	if t == nil || t.chamber == nil {
-		return errors.New("nothing is agreed on here")
+	if !t.agrees() {
+		return errNothingAgreed
 	}
-	a, ok := t.chamber.May()
-	is := t.chamber.Status()
-	s := report.Settings{Version: a.Version, Acting: ok, LeaseMs: t.chamber.Left().Milliseconds(), Votes: is.Votes, Leads: is.Leads, Leader: is.Leader,
-		Committed: is.Committed, Coming: is.Coming, Lagging: strings.Join(is.Lagging, ",")}
+	s, a := t.standing()
 	for _, name := range slices.Sorted(maps.Keys(a.Docs)) {
 		d := a.Docs[name]
 		s.Documents = append(s.Documents, report.Document{Name: name, Version: d.Version, By: d.By, Bytes: len(d.Body), SHA256: fmt.Sprintf("%x", d.Digest)})
@@ -168,6 +182,26 @@
 	return s.Write(w)
 }
 
+// versions is settings without the documents.
+func (t *fleet) versions(w io.Writer) error {
+	if !t.agrees() {
+		return errNothingAgreed
+	}
+	s, _ := t.standing()
+	return s.Write(w)
+}
+
+func (t *fleet) standing() (*report.Settings, *agree.Acting) {
+	a, _ := t.chamber.May()
+	is := t.chamber.Status()
+	s := &report.Settings{Version: a.Version, Acting: t.chamber.Covers(a.Version), LeaseMs: t.chamber.Left().Milliseconds(), Votes: is.Votes, Leads: is.Leads, Leader: is.Leader,
+		Term: is.Term, Committed: is.Committed, Coming: is.Coming, All: is.All, Declined: is.Declined, Why: is.Why, Refused: t.refused.Load(), Voters: strings.Join(is.Voters, ","), Sitting: strings.Join(is.Sitting, ",")}
+	for _, l := range is.Lagging {
+		s.Lags = append(s.Lags, report.Lag{Daemon: l.Daemon, Why: l.Why})
+	}
+	return s, a
+}
+
 // retune takes up what a reload may change. Keys are read before anything is changed.
 func (t *fleet) retune(f *config.FleetSpec) (commit func(), _ error) {
 	switch {
@@ -288,6 +322,12 @@
 	if t == nil {
 		return nil
 	}
+	if t.agrees() {
+		is, _ := t.standing()
+		out = append(out, metrics.Gauge{Name: "settings_version", Value: int64(is.Version)}, metrics.Gauge{Name: "settings_all", Value: int64(is.All)},
+			metrics.Gauge{Name: "settings_lease_ms", Value: is.LeaseMs}, metrics.Gauge{Name: "settings_term", Value: int64(is.Term)}, metrics.Gauge{Name: "settings_leads", Value: asNumber(is.Leads)},
+			metrics.Gauge{Name: "settings_lagging", Value: int64(len(is.Lags))}, metrics.Gauge{Name: "settings_refused", Value: int64(is.Refused), Counts: true})
+	}
 	v := t.link.View()
 	n := [4]int64{}
 	for _, m := range v.Members {
@@ -307,3 +347,10 @@
 	}
 	return out
 }
+
+func asNumber(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/sidecar/operators.go
+++ b/internal/sidecar/operators.go
@@ -16,6 +16,7 @@
 	"tuliprock/internal/core"
 	"tuliprock/internal/handover"
 	"tuliprock/internal/metrics"
+	"tuliprock/internal/peers/agree"
 )
 
 const (
@@ -224,7 +225,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
-	a := admin.New(l, c.Operators, admin.Daemon{Ready: s.ready.Load, Vars: s.vars, Bar: s.bar, Peers: s.fleet.peers, Settings: s.fleet.settings}, s.log)
+	d := admin.Daemon{Ready: s.ready.Load, Vars: s.vars, Bar: s.bar, Peers: s.fleet.peers, Settings: s.fleet.call, Versions: s.fleet.versions}
+	if s.fleet.agrees() {
+		d.MostBody = agree.MostBody
+	}
+	a := admin.New(l, c.Operators, d, s.log)
 	go a.Serve()
 	return a, nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"tuliprock/internal/core"
 	"tuliprock/internal/front"
 	"tuliprock/internal/metrics"
+	"tuliprock/internal/peers/agree"
 )
 
 const (
@@ -51,6 +52,8 @@
 	mu        sync.Mutex // a reload holds it from its beginning to its end
 	ending    bool
 	present   *installed
+	told      config.Service       // what present was made of, with what is agreed on
+	acts      actsOn               // of present
 	listeners map[string]*listener // by place
 	leaving   map[*listener]bool   // taken out, and not ended yet
 	running   map[*pool]bool       // in force, or taken out and not ended yet
@@ -80,15 +83,16 @@
 	}
 	s.fixed = c.Fixed()
 	var err error
-	if s.fleet, err = startFleet(c.Fleet, log); err != nil {
+	if s.fleet, err = startFleet(c, log); err != nil {
 		return nil, err
 	}
-	s.fleet.heed(s.hands)
+	s.fleet.hear(s.hands)
 	s.beside = newTakeover(s, c, log)
 	if err := s.Reload(c); err != nil {
 		s.beside.end()
 		return nil, errors.Join(err, s.fleet.end())
 	}
+	s.fleet.heed(s)
 	if s.beside == nil {
 		s.ready.Store(true)
 		return s, nil
@@ -103,12 +107,30 @@
 // is: listeners keep their connections, pools all that their module has learned. A request is served wholly by the
 // configuration that took it; listeners and pools that are taken out end when their last one is answered. Reloads may
 // be asked for at once and at any time; after the end has begun they change nothing.
+//
+// In a fleet that agrees on settings, what is agreed on holds in place of what the configuration says of the same.
 func (s *Sidecar) Reload(c config.Service) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ending {
 		return errEnding
 	}
+	if err := s.reload(c); err != nil {
+		return err
+	}
+	if s.fleet.agrees() {
+		s.fleet.own.Store(c.File)
+		s.fleet.chamber.Recheck()
+	}
+	return nil
+}
+
+// reload takes up what this daemon was told, with what is agreed on. s.mu is held.
+func (s *Sidecar) reload(told config.Service) error {
+	c, acting, err := s.fleet.compose(told)
+	if err != nil {
+		return err
+	}
 	retune, err := s.fleet.retune(c.Fleet) // all that can fail comes first
 	if err != nil {
 		return err
@@ -127,7 +149,14 @@
 	retune()
 	s.adoptAdmin(c, operators)
 	next := s.install(c)
+	acts := actsOn{agree.DigestOf(settingsOf(acting.Docs)), &atomic.Uint64{}}
+	acts.version.Store(acting.Version)
+	next.routes.Guard, next.routes.Unsure = s.fleet.guard(c.Refuses, acts.version), unsureRetry
 	s.current.Swap(next.routes)
+	if s.told, s.acts = told, acts; s.fleet.agrees() {
+		s.fleet.chamber.Installed(acting.Version)
+		s.log.Info("settings as agreed on", "version", acting.Version)
+	}
 	s.adopt(opened)
 	if s.present != nil {
 		s.retire(s.present)
