--- a/cmd/tuliprock/peers_test.go
+++ b/cmd/tuliprock/peers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -106,8 +107,26 @@
 	return path
 }
 
+// own is a loopback address of this process's own, with a port that is free there for TCP and UDP: one that is free at 127.0.0.1 may
+// be that of a connection which a daemon before has dialed from here.
 func own(t *testing.T, i int) string {
-	return strings.Replace(testpeer.FreePort(t), "127.0.0.1", fmt.Sprintf("127.%d.9.%d", 100+os.Getpid()%100, i), 1)
+	t.Helper()
+	ip := fmt.Sprintf("127.%d.9.%d", 100+os.Getpid()%100, i)
+	for range 100 {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := l.Addr().String()
+		u, err := net.ListenPacket("udp", at)
+		l.Close()
+		if err == nil {
+			u.Close()
+			return at
+		}
+	}
+	t.Fatalf("%s has no port that is free", ip)
+	return ""
 }
 
 // Two processes of one name, one of another cluster, one with another key: each says so, and none harms the others. Then the
