A grant that is taken for another is waited for by its later number

A daemon whose answers were lost for long, and that then said which grant it took, had that one struck off with those before it: a version could be activated while its long lease ran. 32 are reached where answers are lost for 10 s while others lag and each asks four times as often. Change: what two are taken for has the later number. TestAGrantAmongTooManyIsWaitedFor fails without it.

--- a/internal/peers/agree/lease.go
+++ b/internal/peers/agree/lease.go
@@ -212,7 +212,7 @@
 	end time.Duration // by this clock it has certainly run out
 }
 
-// mostGrants bounds what is remembered of one daemon: beyond it the two latest are taken for one with the later end.
+// mostGrants bounds what is remembered of one daemon: beyond it the two latest are taken for one, of the later Seq and the later end.
 const mostGrants = 32
 
 // NewSteward begins a term. Leases that earlier leaders have granted may run on.
@@ -238,7 +238,7 @@
 	k.grants = slices.DeleteFunc(k.grants, func(o outstanding) bool { return o.seq < r.Took || now >= o.end })
 	end := now + s.t.waited(g.Lease)
 	if n := len(k.grants); n >= mostGrants {
-		k.grants[n-1].end = max(k.grants[n-1].end, end)
+		k.grants[n-1] = outstanding{r.Seq, max(k.grants[n-1].end, end)}
 	} else {
 		k.grants = append(k.grants, outstanding{r.Seq, end})
 	}
--- a/internal/peers/agree/lease_test.go
+++ b/internal/peers/agree/lease_test.go
@@ -141,3 +141,23 @@
 		}
 	}
 }
+
+// Answers get lost for so long that grants are taken for one another: the one that the daemon says it took at last is still
+// waited for.
+func TestAGrantAmongTooManyIsWaitedFor(t *testing.T) {
+	st, now := agreed(t), 100*time.Second
+	s := NewSteward(now-time.Minute, terms)
+	quiet := *st
+	quiet.Coming = quiet.Active // nothing is to come, and leases are long
+	const last = mostGrants + 8
+	for seq := range uint64(last) {
+		s.Grant(now, Request{Daemon: "d", Seq: seq + 1, Has: 2, Acts: 1}, &quiet)
+	}
+	s.Grant(now, Request{Daemon: "d", Seq: last + 1, Has: 2, Acts: 1, Took: last}, st) // its answer, which would make the lease short, is lost
+	if s.Activate(now+time.Second, st) != 0 {
+		t.Error("the long lease that it took is not waited for")
+	}
+	if s.Activate(now+terms.waited(terms.Lease), st) != 2 {
+		t.Error("it is waited for though its lease has run out")
+	}
+}
