A leader takes stock of its fleet once a beat; what was written twice is one piece

Work in the wrong place: each grant went through all daemons of the fleet, and so did each event of a leader's goroutine (Steward.Grant, Chamber.publish): quadratic in the fleet. Who is waited for is told up to a beat later.

Simpler: one Disk where Keep was always the same; encoding/hex in place of a Scanner; one pass over a shared part; a loop and a condition in Voter.Ask and confirm that did nothing. That first voters are awaited and that a seat's log is lost are two things, and the one no longer hides the other in the log.

--- a/cmd/tuliprock/peers.go
+++ b/cmd/tuliprock/peers.go
@@ -12,11 +12,22 @@
 	"tuliprock/internal/peers/report"
 )
 
-type peersCommand struct {
+type peersCommand struct{ daemonAt }
+
+// daemonAt is whom a command asks, and where the answer goes.
+type daemonAt struct {
 	At   string `required:"" placeholder:"ADDR" help:"The daemon's operators' address (admin_addr)."`
 	JSON string `name:"json" placeholder:"FILE" help:"Write the whole answer here; '-': standard output."`
 }
 
+// tell writes an answer as JSON where that is wanted, and else as print does.
+func (d *daemonAt) tell(answer any, print func(w io.Writer) error) error {
+	if d.JSON != "" {
+		return writeJSON(d.JSON, answer)
+	}
+	return print(os.Stdout)
+}
+
 const peersTime = 2 * time.Second // a daemon owes an answer within one
 
 // Run implements kong's command.
@@ -25,10 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON != "" {
-		return writeJSON(c.JSON, f)
-	}
-	return printPeers(os.Stdout, f)
+	return c.tell(f, func(w io.Writer) error { return printPeers(w, f) })
 }
 
 type councilCommand struct {
--- a/cmd/tuliprock/schedules_test.go
+++ b/cmd/tuliprock/schedules_test.go
@@ -221,8 +221,8 @@
 		names[i] = fmt.Sprint("s", i)
 	}
 	s.rng.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
-	some, others := names[:1+s.rng.IntN(len(names)-1)], names
-	others = names[len(some):]
+	n := 1 + s.rng.IntN(len(names)-1)
+	some, others := names[:n], names[n:]
 	d := s.rng.IntN(len(s.ds))
 	if leads := s.leader(); leads >= 0 && s.rng.IntN(2) == 0 {
 		d = leads
@@ -242,11 +242,7 @@
 		s.net.Heal()
 		return "cuts"
 	case 2:
-		for _, a := range some {
-			for _, b := range others {
-				s.net.Set(a, b, faultnet.Link{Cut: true})
-			}
-		}
+		s.net.OneWay(some, others, faultnet.Link{Cut: true})
 		time.Sleep(length)
 		s.net.Heal()
 		return "one way"
--- a/cmd/tuliprock/serve_test.go
+++ b/cmd/tuliprock/serve_test.go
@@ -53,8 +53,15 @@
 }
 
 func start(t *testing.T, args ...string) *daemonRun {
+	t.Helper()
+	return startIn(t, "", args...)
+}
+
+// startIn is start in a directory; empty: this process's own.
+func startIn(t *testing.T, dir string, args ...string) *daemonRun {
 	t.Helper()
 	s := &daemonRun{cmd: program(args...)}
+	s.cmd.Dir = dir
 	s.begin(t)
 	return s
 }
--- a/cmd/tuliprock/settings.go
+++ b/cmd/tuliprock/settings.go
@@ -29,12 +29,6 @@
 	Diff    settingsDiff    `cmd:"" help:"What differs between two versions of a document, or between what is agreed on and a file."`
 }
 
-// daemonAt is whom a command asks.
-type daemonAt struct {
-	At   string `required:"" placeholder:"ADDR" help:"The daemon's operators' address (admin_addr)."`
-	JSON string `name:"json" placeholder:"FILE" help:"Write the whole answer here; '-': standard output."`
-}
-
 // settingsTime is how long a call may take that a majority of the voters must answer: an election takes one or two seconds.
 const settingsTime = 10 * time.Second
 
@@ -52,28 +46,19 @@
 func (c *settingsShow) Run() error {
 	if c.Name != "" {
 		a, err := c.document(c.Name, c.Version)
-		if err != nil || c.JSON != "" {
-			return errors.Join(err, writeAsked(c.JSON, a, err))
+		if err != nil {
+			return err
 		}
-		_, err = os.Stdout.Write(a.Body)
-		return err
+		return c.tell(a, func(w io.Writer) error {
+			_, err := w.Write(a.Body)
+			return err
+		})
 	}
 	s, err := report.AskSettings(c.At, peersTime)
 	if err != nil {
 		return err
 	}
-	if c.JSON != "" {
-		return writeJSON(c.JSON, s)
-	}
-	return printSettings(os.Stdout, s)
-}
-
-// writeAsked writes an answer as JSON, if there is one.
-func writeAsked(path string, a *report.Answer, err error) error {
-	if err != nil {
-		return nil
-	}
-	return writeJSON(path, a)
+	return c.tell(s, func(w io.Writer) error { return printSettings(w, s) })
 }
 
 func (d *daemonAt) document(name string, version uint64) (*report.Answer, error) {
@@ -103,12 +88,17 @@
 	return t.Flush()
 }
 
+// awaited is a command that has a version come to be acted on.
+type awaited struct {
+	daemonAt
+	Wait time.Duration `default:"60s" help:"How long to wait until all daemons act on it; 0s: until it is agreed on."`
+}
+
 // change is a command that has something changed.
 type change struct {
-	daemonAt
-	Expect string        `placeholder:"VERSION" help:"Change nothing unless this is the latest version."`
-	ID     string        `help:"Of this change: made again with the same one it is done once. Left out: drawn."`
-	Wait   time.Duration `default:"60s" help:"How long to wait until all daemons act on it; 0s: until it is agreed on."`
+	awaited
+	Expect string `placeholder:"VERSION" help:"Change nothing unless this is the latest version."`
+	ID     string `help:"Of this change: made again with the same one it is done once. Left out: drawn."`
 }
 
 // changed is the result of a change as JSON.
@@ -140,7 +130,7 @@
 	return c.await(&changed{Format: 1, ID: c.ID, Version: a.Version, Same: a.Same})
 }
 
-func (c *change) await(r *changed) error {
+func (c *awaited) await(r *changed) error {
 	say := func(format string, args ...any) {
 		if c.JSON != "-" {
 			fmt.Printf(format+"\n", args...)
@@ -170,7 +160,7 @@
 const lookEvery = 100 * time.Millisecond
 
 // allAct waits until all daemons act on a version.
-func (c *change) allAct(r *changed, began time.Time) error {
+func (c *awaited) allAct(r *changed, began time.Time) error {
 	for {
 		s, err := report.AskVersions(c.At, peersTime)
 		if err == nil {
@@ -232,7 +222,7 @@
 }
 
 type settingsForce struct {
-	change
+	awaited
 	Version uint64 `arg:"" help:"The version that is to come."`
 }
 
@@ -286,11 +276,10 @@
 }
 
 func (c *settingsVoters) say(s *report.Settings) error {
-	if c.JSON != "" {
-		return writeJSON(c.JSON, s)
-	}
-	_, err := fmt.Println(strings.ReplaceAll(s.Sitting, ",", " "))
-	return err
+	return c.tell(s, func(w io.Writer) error {
+		_, err := fmt.Fprintln(w, strings.ReplaceAll(s.Sitting, ",", " "))
+		return err
+	})
 }
 
 type settingsHistory struct {
@@ -304,11 +293,12 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON != "" {
-		return writeJSON(c.JSON, a)
-	}
-	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	for _, h := range a.History {
+	return c.tell(a, func(w io.Writer) error { return c.print(w, a.History) })
+}
+
+func (c *settingsHistory) print(w io.Writer, history []report.Change) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, h := range history {
 		if c.Name != "" && h.Name != c.Name {
 			continue
 		}
@@ -354,15 +344,14 @@
 		return err
 	}
 	text := udiff.Unified(fmt.Sprintf("%s, version %d", c.Name, from.Put), other, string(from.Body), string(to))
-	if c.JSON != "" {
-		err = writeJSON(c.JSON, struct {
-			Format  int    `json:"format"`
-			Differs bool   `json:"differs"`
-			Diff    string `json:"diff"`
-		}{1, text != "", text})
-	} else {
-		_, err = os.Stdout.WriteString(text)
-	}
+	err = c.tell(struct {
+		Format  int    `json:"format"`
+		Differs bool   `json:"differs"`
+		Diff    string `json:"diff"`
+	}{1, text != "", text}, func(w io.Writer) error {
+		_, err := io.WriteString(w, text)
+		return err
+	})
 	if err == nil && text != "" {
 		err = verdict{errors.New("they differ")}
 	}
--- a/cmd/tuliprock/settings_test.go
+++ b/cmd/tuliprock/settings_test.go
@@ -139,9 +139,7 @@
 	if err := os.WriteFile(filepath.Join(elsewhere, "members.json"), []byte(`{"format":1,"members":[{"address":"`+c.nodes[0].Addr+`"}]}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c.ds[3].daemonRun = &daemonRun{cmd: program("serve", "--config", c.ds[3].path)}
-	c.ds[3].cmd.Dir = elsewhere
-	c.ds[3].daemonRun.begin(t)
+	c.ds[3].daemonRun = startIn(t, elsewhere, "serve", "--config", c.ds[3].path)
 	c.ds[3].await(t, "msg=listening")
 	marked(c.ds[3], "two")
 	write([]byte(lacks))
@@ -194,12 +192,8 @@
 		d.signal(t, syscall.SIGKILL)
 		_ = d.ended()
 	}
-	for i, d := range c.ds[1:] {
-		d.daemonRun = &daemonRun{cmd: program("serve", "--config", d.path)}
-		if i+1 == 3 {
-			d.cmd.Dir = elsewhere
-		}
-		d.daemonRun.begin(t)
+	for _, d := range c.ds[1:] {
+		d.daemonRun = startIn(t, map[*fleetDaemon]string{c.ds[3]: elsewhere}[d], "serve", "--config", d.path)
 	}
 	for _, d := range c.ds[1:] {
 		marked(d, "ten")
--- a/internal/config/agreed.go
+++ b/internal/config/agreed.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -68,10 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, own := range ownParts {
-		if _, had := tomlfile.Without(text, own); had != nil {
-			return nil, at.Errorf(own, "must be left out: it is each daemon's own")
-		}
+	if _, own := tomlfile.Without(text, ownParts...); len(own) > 0 {
+		return nil, at.Errorf(own[0], "must be left out: it is each daemon's own")
 	}
 	if f.Format != 1 {
 		return nil, at.Errorf("format", "must be 1")
@@ -185,24 +184,12 @@
 
 // checkDoc wants a document to be of a sort that this program knows.
 func checkDoc(name string, body []byte) error {
-	sort, rest, _ := strings.Cut(name, "/")
-	switch sort + "/" {
-	case SharedDoc + "/":
-		if rest == "" && name == SharedDoc {
-			return nil
-		}
-	case MembersPrefix:
-		if rest != "" {
-			return nil
-		}
-	case OutPrefix:
-		if rest != "" && len(body) == 0 {
-			return nil
-		}
-	case FlagPrefix:
-		if rest != "" && !strings.ContainsAny(string(body), "\r\n") {
-			return nil
-		}
+	pool, isList := strings.CutPrefix(name, MembersPrefix)
+	id, isOut := strings.CutPrefix(name, OutPrefix)
+	flag, isFlag := strings.CutPrefix(name, FlagPrefix)
+	switch {
+	case name == SharedDoc, isList && pool != "", isOut && id != "" && len(body) == 0, isFlag && flag != "" && !bytes.ContainsAny(body, "\r\n"):
+		return nil
 	}
 	return fmt.Errorf("%.80q: this program knows no such document", cmp.Or(name, "a document without a name"))
 }
--- a/internal/lab/council/council.go
+++ b/internal/lab/council/council.go
@@ -414,10 +414,17 @@
 		n.asks = append(n.asks, w.named(name).place)
 	}
 	n.kept = n.asks
-	switch {
-	case n.voter != nil && g.Seat != n.id && !slices.Contains(g.Sitting, fmt.Sprint("d", n.place)):
+	seat := uint64(0)
+	if n.voter != nil {
+		seat = n.id
+	}
+	switch g.Move(fmt.Sprint("d", n.place), seat) {
+	case agree.Rise:
 		w.leave(n)
-	case n.voter == nil && g.Begins && !n.left:
+	case agree.Sit:
+		if n.left {
+			return
+		}
 		n.id = g.Seat
 		if err := w.open(n); err != nil {
 			w.Checker.broken("%v: daemon %d can't take a seat: %v", w.Now, n.place, err)
--- a/internal/lab/faultnet/faultnet.go
+++ b/internal/lab/faultnet/faultnet.go
@@ -114,11 +114,16 @@
 
 // Between sets the links between all of one group and all of the other, both ways.
 func (n *Net) Between(some, others []string, l Link) {
+	n.OneWay(some, others, l)
+	n.OneWay(others, some, l)
+}
+
+// OneWay sets the links from all of one group to all of the other.
+func (n *Net) OneWay(some, others []string, l Link) {
 	for _, a := range some {
 		for _, b := range others {
 			if a != b {
 				n.Set(a, b, l)
-				n.Set(b, a, l)
 			}
 		}
 	}
--- a/internal/lab/rehearse/fleet.go
+++ b/internal/lab/rehearse/fleet.go
@@ -318,13 +318,9 @@
 func (f *fleetWorld) set(s LinkStrike, l faultnet.Link) {
 	for i, part := range s.Parts {
 		for _, other := range s.Parts[i+1:] {
-			for _, a := range part {
-				for _, b := range other {
-					f.net.Set(a, b, l)
-					if !s.OneWay {
-						f.net.Set(b, a, l)
-					}
-				}
+			f.net.OneWay(part, other, l)
+			if !s.OneWay {
+				f.net.OneWay(other, part, l)
 			}
 		}
 	}
--- a/internal/peers/agree/lease.go
+++ b/internal/peers/agree/lease.go
@@ -199,6 +199,9 @@
 	t     Terms
 	since time.Duration // it has led
 	known map[string]*known
+
+	whole uint64 // what Look found
+	lags  []Lag
 }
 
 // known is what the steward knows of a daemon.
@@ -248,18 +251,25 @@
 	if r.Has < st.Coming && r.Declines < st.Coming {
 		g.Coming = st.Next
 	}
-	g.All = s.all(now, st)
-	if g.Lags = s.Lagging(now, st); len(g.Lags) > mostLags {
-		g.Lags = g.Lags[:mostLags]
-	}
+	g.All, g.Lags = s.whole, s.lags[:min(len(s.lags), mostLags)]
 	return g
 }
 
+// Look takes stock of all daemons, for the grants that follow: once a beat, since it goes through all of them. What it finds of
+// versions that nobody acts on any more stays so.
+func (s *Steward) Look(now time.Duration, st *State) {
+	s.lags = s.Lagging(now, st)
+	s.whole = s.all(now, st)
+}
+
 // forced tells whether a daemon goes without a lease, since a version comes on which it can't act.
 func forced(st *State, r *Request) bool {
-	return st.Coming > st.Active && st.Forced >= st.Coming && r.Has < st.Coming && r.Declines == st.Coming
+	return st.Coming > st.Active && st.Forced >= st.Coming && declines(st, r)
 }
 
+// declines tells whether a daemon has said that it can't act on what comes.
+func declines(st *State, r *Request) bool { return r.Has < st.Coming && r.Declines == st.Coming }
+
 // end is when the last lease that a daemon may hold has run out.
 func (k *known) end() (end time.Duration) {
 	for _, o := range k.grants {
@@ -297,7 +307,7 @@
 		return 0
 	}
 	for _, k := range s.known {
-		if k.r.Declines == st.Coming && k.r.Has < st.Coming && now < k.end() {
+		if declines(st, &k.r) && now < k.end() {
 			return st.Coming
 		}
 	}
@@ -312,7 +322,7 @@
 		return ""
 	case forced(st, &k.r):
 		return fmt.Sprintf("it can't act on version %d, which was forced: its lease ends", st.Coming)
-	case k.r.Has < st.Coming && k.r.Declines == st.Coming:
+	case declines(st, &k.r):
 		return fmt.Sprintf("it can't act on version %d: %s", st.Coming, k.r.Why)
 	case k.r.Has < st.Coming:
 		return fmt.Sprintf("it has not got version %d", st.Coming)
--- a/internal/peers/agree/lease_test.go
+++ b/internal/peers/agree/lease_test.go
@@ -161,3 +161,20 @@
 		t.Error("it is waited for though its lease has run out")
 	}
 }
+
+// What a leader does for each request while a version comes, with its part of what goes through all daemons once a beat.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []uint64{50, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			st, s, now := agreed(b), NewSteward(0, terms), time.Minute
+			const beat = 100 // requests: 300 daemons ask a thousand times a second
+			for i := uint64(0); b.Loop(); i++ {
+				now += time.Millisecond
+				if i%beat == 0 {
+					s.Look(now, st)
+				}
+				s.Grant(now, Request{Daemon: fmt.Sprint("d", i%n), Seq: i / n, Has: 1, Took: i / n}, st)
+			}
+		})
+	}
+}
--- a/internal/peers/agree/seats.go
+++ b/internal/peers/agree/seats.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -134,6 +133,31 @@
 	}
 }
 
+// Move is what a daemon does about its seat.
+type Move int
+
+// The moves.
+const (
+	Stay Move = iota
+	Rise      // its seat was taken out
+	Sit       // it takes Grant.Seat
+	Lost      // its seat was taken with another disk than it has
+)
+
+// Move tells what a daemon does that has this seat, 0 for none, when it is told so by a leader that a majority has confirmed. One
+// that is to leave votes until raft's configuration says otherwise: a majority may need it.
+func (g *Grant) Move(name string, seat uint64) Move {
+	switch {
+	case seat != 0 && g.Seat != seat && !slices.Contains(g.Sitting, name):
+		return Rise
+	case seat == 0 && g.Begins:
+		return Sit
+	case seat == 0 && g.Lost:
+		return Lost
+	}
+	return Stay
+}
+
 // under says which change of voters is under way; empty: none.
 func (s *State) under() string {
 	for id, name := range s.Seats {
@@ -225,7 +249,7 @@
 func firstState(names []string) []byte {
 	s := NewState()
 	s.found(names)
-	b, err := json.Marshal(stored{State: *s})
+	b, err := s.Encode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/peers/agree/state_test.go
+++ b/internal/peers/agree/state_test.go
@@ -150,6 +150,7 @@
 	s := NewSteward(0, terms)
 	d, old := NewHolder("d", terms, 0, nil), NewHolder("old", terms, 0, nil)
 	round := func() {
+		s.Look(now, st)
 		for _, h := range []*Holder{d, old} {
 			r, _ := h.Ask(now)
 			h.Granted(now, s.Grant(now, r, st))
--- a/internal/peers/agree/voter.go
+++ b/internal/peers/agree/voter.go
@@ -351,22 +351,21 @@
 	if !v.leads || v.steward == nil || len(v.asked)+len(v.ready) >= mostWaiting {
 		return ErrNotLeader
 	}
-	if len(v.asked) == 0 || v.asked[len(v.asked)-1].round <= v.round { // none waits for a round that is yet to begin
-		v.round++
-		v.raft.ReadIndex(binary.BigEndian.AppendUint64(nil, v.round))
-	}
+	v.ask()
 	v.asked = append(v.asked, waiting{round: v.round, r: r})
 	return nil
 }
 
+// ask begins a round of confirmation: it is one for all that were asked before, too.
+func (v *Voter) ask() {
+	v.round++
+	v.raft.ReadIndex(binary.BigEndian.AppendUint64(nil, v.round))
+}
+
 // confirm asks again where a round got no answer: messages may be lost.
 func (v *Voter) confirm() {
 	if len(v.asked) > 0 {
-		v.round++
-		v.raft.ReadIndex(binary.BigEndian.AppendUint64(nil, v.round))
-		for i := range v.asked {
-			v.asked[i].round = min(v.asked[i].round, v.round)
-		}
+		v.ask()
 	}
 }
 
@@ -375,6 +374,7 @@
 	if v.steward == nil {
 		return
 	}
+	v.steward.Look(now, v.state)
 	if version := v.steward.Activate(now, v.state); version > v.proposed {
 		if v.Propose(&Command{Activate: version}) == nil {
 			v.proposed = version
@@ -568,12 +568,12 @@
 	v.raft.ReportSnapshot(to, status)
 }
 
-// Lagging are the daemons that a leader waits for, and why.
-func (v *Voter) Lagging(now time.Duration) []Lag {
+// Lagging are the daemons that a leader waits for, and why, as of its last beat.
+func (v *Voter) Lagging() []Lag {
 	if v.steward == nil {
 		return nil
 	}
-	return v.steward.Lagging(now, v.state)
+	return v.steward.lags
 }
 
 // Term is the latest that this voter has seen.
--- a/internal/peers/chamber/chamber.go
+++ b/internal/peers/chamber/chamber.go
@@ -54,9 +54,8 @@
 type Options struct {
 	Name    string
 	Voters  []string // the first ones, of all daemons alike, in any order
-	Disk    wal.FS   // for a voter's log: one of the first, and one that is called to vote; nil: this daemon can't
+	Disk    wal.FS   // for what this daemon acts on, over restarts, and a voter's log; nil: it remembers nothing, and can't vote
 	Terms   agree.Terms
-	Keep    wal.FS // where what this daemon acts on is kept over restarts; nil: nowhere
 	Carrier Carrier
 	Now     func() time.Duration // this daemon's clock; it never runs backwards
 	Log     *slog.Logger
@@ -102,6 +101,7 @@
 	left       bool             // this daemon's part in the voting has ended
 	marked     string           // the mark of a disk that has no voter; empty: there is none
 	lost       bool             // it was said that the log of its seat is gone
+	awaited    bool             // it was said which first voters are not there
 }
 
 // waiting is a command that has not been answered: by whom it was asked here, or from which daemon it came. One whose asker has gone
@@ -528,7 +528,7 @@
 		st := c.seat.voter.State()
 		s.Leads, s.Committed, s.Coming, s.Term = c.seat.voter.Leads(), st.Version, st.Coming, c.seat.voter.Term()
 		if s.Leads {
-			s.Lagging = c.seat.voter.Lagging(c.o.Now())
+			s.Lagging = c.seat.voter.Lagging()
 		}
 	}
 	if was := c.status.Load(); !reflect.DeepEqual(s, *was) {
--- a/internal/peers/chamber/found.go
+++ b/internal/peers/chamber/found.go
@@ -9,6 +9,7 @@
 
 	"tuliprock/internal/peers/agree"
 	"tuliprock/internal/peers/link"
+	"tuliprock/internal/wal"
 )
 
 // markName is a file that holds the mark of a disk, drawn at its first start (agree.Founding, agree.SeatMark).
@@ -33,14 +34,14 @@
 		return strings.TrimSpace(string(text)), err
 	}
 	mark := rand.Text()
-	return mark, replace(c.o.Disk, markName, []byte(mark+"\n"))
+	return mark, wal.Replace(c.o.Disk, markName, []byte(mark+"\n"))
 }
 
 // found asks the other first voters whether they have begun.
 func (c *Chamber) found(now time.Duration) {
 	c.foundAt = now + foundEvery
-	if silent := c.founding.Silent(); now > c.began+foundSaid && !c.lost && len(silent) > 0 {
-		c.lost = true
+	if silent := c.founding.Silent(); now > c.began+foundSaid && !c.awaited && len(silent) > 0 {
+		c.awaited = true
 		c.o.Log.Warn("this daemon votes when all first voters have been up at once", "silent", strings.Join(silent, " "))
 	}
 	p := foundParcel{Round: c.founding.Round(), Asks: true, Word: c.founding.Word()}
--- a/internal/peers/chamber/keep.go
+++ b/internal/peers/chamber/keep.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 
@@ -15,8 +14,6 @@
 // It is replaced whole. What it says is no lease: it is what a daemon goes on with that starts and hears of no voter.
 const keptName = "ACTED"
 
-const temporary = ".new" // ends the name of a file that is to replace another
-
 type kept struct {
 	Version uint64                    `json:"version"`
 	Docs    map[string]agree.Document `json:"docs"`
@@ -25,12 +22,12 @@
 
 // keep keeps what this daemon acts on. A disk that fails costs no more than that.
 func (c *Chamber) keep(a Acting, voters []string) {
-	if c.kept, c.keptVoters = a.Version, voters; c.o.Keep == nil {
+	if c.kept, c.keptVoters = a.Version, voters; c.o.Disk == nil {
 		return
 	}
 	body, err := json.Marshal(kept{a.Version, a.Docs, voters})
 	if err == nil {
-		err = replace(c.o.Keep, keptName, fmt.Appendf(nil, "%x\n%s", sha256.Sum256(body), body))
+		err = wal.Replace(c.o.Disk, keptName, fmt.Appendf(nil, "%x\n%s", sha256.Sum256(body), body))
 	}
 	if err != nil {
 		c.o.Log.Warn("what is acted on can't be kept for the next start", "version", a.Version, "err", err)
@@ -39,10 +36,10 @@
 
 // remembered is what was kept; nothing where there is none, or it is damaged, or this daemon can't act on it any more.
 func (c *Chamber) remembered() (uint64, map[string]agree.Document) {
-	if c.o.Keep == nil {
+	if c.o.Disk == nil {
 		return 0, nil
 	}
-	k, err := readKept(c.o.Keep)
+	k, err := readKept(c.o.Disk)
 	if err == nil && k != nil && c.o.Check != nil {
 		err = c.o.Check(k.Docs)
 	}
@@ -96,19 +93,3 @@
 	}
 	return b, nil
 }
-
-// replace puts a file in the place of the one of its name, or leaves that as it was.
-func replace(fs wal.FS, name string, text []byte) error {
-	temp := name + temporary
-	f, err := fs.Create(temp)
-	if err != nil {
-		return err
-	}
-	if _, err := f.Write(text); err != nil {
-		return errors.Join(err, f.Close())
-	}
-	if err := errors.Join(f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	return errors.Join(fs.Rename(temp, name), fs.SyncDir())
-}
--- a/internal/peers/chamber/keep_test.go
+++ b/internal/peers/chamber/keep_test.go
@@ -19,7 +19,7 @@
 // What a daemon acted on is there after a restart, or nothing is: a file cut or changed at any byte says nothing.
 func TestWhatIsKeptIsWholeOrNothing(t *testing.T) {
 	d := simdisk.New()
-	c := &Chamber{o: Options{Keep: d, Log: slog.New(slog.DiscardHandler)}}
+	c := &Chamber{o: Options{Disk: d, Log: slog.New(slog.DiscardHandler)}}
 	c.keep(Acting{Version: 7, Docs: map[string]agree.Document{"a": {Name: "a", Version: 5, Body: []byte("text")}}}, []string{"v"})
 	whole, err := read(d, keptName, mostKept)
 	if err != nil || len(whole) == 0 {
--- a/internal/peers/chamber/seat.go
+++ b/internal/peers/chamber/seat.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -79,31 +80,16 @@
 			return i, nil
 		}
 	case len(words) == 6 && words[1] == "joined" && words[4] == "in":
-		var err error
-		i.name = words[0]
-		i.id, err = strconv.ParseUint(words[3], 10, 64)
-		n, err2 := fmt.Sscanf(words[5], "%x", (*hex)(&i.founded))
-		if err == nil && err2 == nil && n == 1 && i.id > 0 {
+		founded, err := hex.DecodeString(words[5])
+		id, idErr := strconv.ParseUint(words[3], 10, 64)
+		if err == nil && idErr == nil && len(founded) == foundedSize && id > 0 {
+			i.name, i.id, i.founded = words[0], id, [foundedSize]byte(founded)
 			return i, nil
 		}
 	}
 	return nil, fmt.Errorf("%s can't be read: %.100q", identityName, text)
 }
 
-// hex reads foundedSize bytes.
-type hex [foundedSize]byte
-
-// Scan implements fmt.Scanner.
-func (h *hex) Scan(state fmt.ScanState, _ rune) error {
-	word, err := state.Token(true, nil)
-	if err != nil {
-		return err
-	}
-	n, err := strconv.ParseUint(string(word), 16, 64)
-	binary.BigEndian.PutUint64(h[:], n)
-	return err
-}
-
 // sitDown opens what this daemon's disk has of a voter. Nil: it has nothing of one, and this daemon is none of the first.
 func (c *Chamber) sitDown(now time.Duration) (*seat, error) {
 	text, err := read(c.o.Disk, identityName, mostIdentity)
@@ -137,12 +123,12 @@
 	}
 	// Of a start that was cut short, and of a daemon that did not vote.
 	names = slices.DeleteFunc(names, func(name string) bool {
-		return name == identityName+temporary || strings.TrimSuffix(name, temporary) == keptName || strings.TrimSuffix(name, temporary) == markName
+		return name == keptName || name == markName || strings.HasSuffix(name, wal.TempSuffix)
 	})
 	if len(names) > 0 {
 		return nil, fmt.Errorf("there is no %s in it, and %d files: it is no voter's", identityName, len(names))
 	}
-	if err := replace(c.o.Disk, identityName, []byte(is.String()+"\n")); err != nil {
+	if err := wal.Replace(c.o.Disk, identityName, []byte(is.String()+"\n")); err != nil {
 		return nil, err
 	}
 	return c.open(now, is)
@@ -211,15 +197,23 @@
 
 // told takes up what a leader, confirmed by a majority, says of this daemon's seat.
 func (c *Chamber) told(now time.Duration, g *agree.Grant) {
-	switch {
-	case c.seat != nil && g.Seat != c.seat.id && !slices.Contains(g.Sitting, c.o.Name): // one that leaves votes to its end
+	seat := uint64(0)
+	if c.seat != nil {
+		seat = c.seat.id
+	}
+	switch g.Move(c.o.Name, seat) {
+	case agree.Rise:
 		c.o.Log.Warn("this daemon does not vote any more: its seat was taken out; empty its data_dir before it is to vote again", "seat", c.seat.id)
 		c.getUp()
-	case c.seat == nil && g.Begins && !c.left:
-		c.join(now, &identity{name: c.o.Name, id: g.Seat, founded: foundedBy(g.First)})
-	case c.seat == nil && g.Lost && !c.lost && !c.left:
-		c.lost = true
-		c.o.Log.Error("this daemon does not vote", "seat", g.Seat, "err", errLost)
+	case agree.Sit:
+		if !c.left {
+			c.join(now, &identity{name: c.o.Name, id: g.Seat, founded: foundedBy(g.First)})
+		}
+	case agree.Lost:
+		if !c.lost && !c.left {
+			c.lost = true
+			c.o.Log.Error("this daemon does not vote", "seat", g.Seat, "err", errLost)
+		}
 	}
 }
 
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -96,7 +96,7 @@
 		if err != nil {
 			return nil, err
 		}
-		o.Keep, o.Disk = disk, disk
+		o.Disk = disk
 	}
 	return chamber.Start(o)
 }
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -35,6 +35,35 @@
 	io.Closer
 }
 
+// Replace puts a file in the place of the one of its name, if there is one. When it returns nil the file is sure to be there; when it
+// does not, the one before is, or this one. What is left of one that was cut short has a name that ends with TempSuffix.
+func Replace(fs FS, name string, parts ...[]byte) error {
+	f, err := fs.Create(name + TempSuffix)
+	if err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if _, err := f.Write(part); err != nil {
+			f.Close()
+			return err
+		}
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := fs.Rename(name+TempSuffix, name); err != nil {
+		return err
+	}
+	return fs.SyncDir()
+}
+
+// TempSuffix ends the name of a file that is yet to replace another. Open takes such files out.
+const TempSuffix = ".tmp"
+
 // ErrLocked is why a directory can't be opened: another process has it open.
 var ErrLocked = errors.New("another process has it open")
 
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -32,32 +32,11 @@
 }
 
 func (l *Log) writeSnapshot(index uint64, body []byte) error {
-	name := snapshotName(index)
-	f, err := l.fs.Create(name + tempSuffix)
-	if err != nil {
-		return err
-	}
 	var trailer [trailerSize]byte
 	binary.LittleEndian.PutUint64(trailer[:], uint64(len(body)))
 	binary.LittleEndian.PutUint32(trailer[8:], sum(body))
 	binary.LittleEndian.PutUint32(trailer[12:], sum(trailer[:12]))
-	for _, part := range [][]byte{header(snapshotMagic, index), body, trailer[:]} {
-		if _, err := f.Write(part); err != nil {
-			f.Close()
-			return err
-		}
-	}
-	if err := f.Sync(); err != nil {
-		f.Close()
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := l.fs.Rename(name+tempSuffix, name); err != nil {
-		return err
-	}
-	return l.fs.SyncDir()
+	return Replace(l.fs, snapshotName(index), header(snapshotMagic, index), body, trailer[:])
 }
 
 func (l *Log) readSnapshot(restore func(uint64, io.Reader) error) error {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -29,8 +29,8 @@
 	// MostRecord bounds a record's payload: a put of 1 MB, and room.
 	MostRecord = 16 << 20
 
-	segmentSuffix, snapshotSuffix, tempSuffix = ".log", ".snap", ".tmp"
-	nameDigits                                = 20
+	segmentSuffix, snapshotSuffix = ".log", ".snap"
+	nameDigits                    = 20
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -118,7 +118,7 @@
 			l.segments = append(l.segments, n)
 		} else if n, ok := numbered(name, snapshotSuffix); ok {
 			snapshots = append(snapshots, n)
-		} else if strings.HasSuffix(name, tempSuffix) { // of a snapshot that was never finished
+		} else if strings.HasSuffix(name, TempSuffix) { // of a snapshot that was never finished
 			if err := l.fs.Remove(name); err != nil {
 				return err
 			}
