The last look before a send: caller still there, endpoint not told off, window not over

Seen: an attempt that waits for a dial or a rest went on after the leaving (core.host.Send, upstream.Client.Attempt looked at bars and the deadline only); with bytes behind the request net/http's background read stops at the first and never sees the end. Also an endpoint told off while its connection came up, a keyed repeat written after its window, and (where cancels are forbidden) an attempt after the final answer.

Change: Watch.Wanted is asked last, from Call: not answered, the caller here by net/http and by the kernel (TCP_INFO), the window not over; Client.takes looks at the list again. What was not written ends as not sent, its connection serves the next, and the call ends with its client. What was written is not called off unless settings allow it.

Tests over loopback sockets: all 18 forms of leaving are written without the guard, none with it; thousands that leave at drawn instants; told off; the window.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"tuliprock/balance"
@@ -41,6 +43,7 @@
 	Refused           // nothing of it has run, or running it again does no harm
 	Failed            // nothing is promised of its effect
 	Duplicate         // its id is in use by a request that is still open
+	Left              // its caller has gone: nobody is there to be answered
 )
 
 // Reply is the final answer to a caller.
@@ -64,8 +67,14 @@
 	Guard  func() bool
 	Unsure time.Duration
 
+	// Here tells, from any goroutine, whether the caller still waits; nil: it does. It is asked last, before the first byte of an
+	// attempt goes out: the loop may hear of the leaving later.
+	Here func() bool
+
 	// The loop's own:
 	over    bool            // answered, or the caller has left
+	closed  atomic.Bool     // over, for attempts that have written nothing yet
+	ranAt   time.Duration   // when the first attempt that may have run was sent; 0: none may have
 	last    upstream.Answer // of the latest attempt that ended, if it brought one
 	cancels []context.CancelFunc
 	out     int // attempts out
@@ -78,16 +87,30 @@
 	events   chan func(now time.Duration)
 	urgent   chan func(now time.Duration) // what must not wait behind a queue of events
 	done     chan struct{}
-	upstream *upstream.Client
+	upstream Upstream
 	ask      func() // asks discovery for a watch
 	log      *slog.Logger
 
+	windows map[string]time.Duration // of keyed classes: for which their repeats are dropped
 	calls   map[string]*Call
 	members map[string]bool
 	timers  []time.Duration           // sorted
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
+// Upstream makes the attempts; *upstream.Client does.
+type Upstream interface {
+	// Attempt sends a request once and tells how that ended; reused: on a connection that had served before. It may be called by many
+	// at once, and writes nothing once ctx has ended, or Watch.Wanted has said no.
+	Attempt(ctx context.Context, id string, m *upstream.Message, w upstream.Watch) (r balance.Result, reused bool, a upstream.Answer)
+	SetMember(id, addr string, takes bool)
+	RemoveMember(id string)
+	Bar(id string, out bool)
+	Idle(id string) bool
+}
+
+var _ Upstream = (*upstream.Client)(nil)
+
 // Decider makes the module that decides. It must give the host no calls before it returns.
 type Decider func(now time.Duration, s balance.Settings, h balance.Host) balance.Events
 
@@ -97,9 +120,14 @@
 }
 
 // New makes a Loop. ask asks discovery for a watch and must not block.
-func New(decide Decider, s balance.Settings, u *upstream.Client, ask func(), log *slog.Logger) *Loop {
+func New(decide Decider, s balance.Settings, u Upstream, ask func(), log *slog.Logger) *Loop {
 	l := &Loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), urgent: make(chan func(time.Duration)), done: make(chan struct{}),
-		upstream: u, ask: ask, log: log, calls: map[string]*Call{}, members: map[string]bool{}}
+		upstream: u, ask: ask, log: log, windows: map[string]time.Duration{}, calls: map[string]*Call{}, members: map[string]bool{}}
+	for _, c := range s.Classes {
+		if c.Effect == balance.Keyed {
+			l.windows[c.Name] = c.Window
+		}
+	}
 	l.balancer = decide(l.clock.now(), s, host{l})
 	return l
 }
@@ -237,18 +265,24 @@
 	if l.calls[c.ID] != c || c.over {
 		return false
 	}
-	c.over = true
+	c.end()
 	l.balancer.ClientLeft(now, c.ID)
 	l.forget(c)
 	return true
 }
 
+// end makes a call one to which nothing more is owed, and of which nothing more is written.
+func (c *Call) end() {
+	c.over = true
+	c.closed.Store(true)
+}
+
 // finish gives the final answer, once.
 func (l *Loop) finish(c *Call, r Reply) {
 	if c == nil || c.over {
 		return
 	}
-	c.over = true
+	c.end()
 	c.Replies <- r
 	l.forget(c)
 }
@@ -270,6 +304,12 @@
 			l.Leave(now, c)
 		}
 	}
+	if o.Result == balance.NotSent && !c.here() && l.Leave(now, c) {
+		c.Replies <- Reply{Verdict: Left} // whoever waits for the answer may not have seen it
+	}
+	if c.ranAt == 0 && mayHaveRun(o.Result) {
+		c.ranAt = sent
+	}
 	o.Took, o.Final = now-sent, c.over
 	if o.Result == balance.OK && !c.over {
 		o.Final = true
@@ -279,6 +319,25 @@
 	l.forget(c)
 }
 
+// mayHaveRun tells whether an attempt that ended so may have had its effect.
+func mayHaveRun(r balance.Result) bool {
+	return r != balance.Full && r != balance.ConnectFailed && r != balance.NotSent
+}
+
+// here tells whether the caller still waits, as far as it can be told.
+func (c *Call) here() bool { return c.Here == nil || c.Here() }
+
+// wanted makes the question that an attempt asks last, before its first byte goes out: is the request still to be sent? It is
+// not once it has its answer or its caller has left, nor, if it may have run before, once nobody drops its repeats any more. The
+// module decided before the connection came up.
+func (l *Loop) wanted(c *Call) func() bool {
+	last := time.Duration(math.MaxInt64)
+	if window, keyed := l.windows[c.Class]; keyed && c.ranAt > 0 {
+		last = c.ranAt + window
+	}
+	return func() bool { return !c.closed.Load() && l.clock.now() < last && c.here() }
+}
+
 // bodySent reports that the last byte of an attempt whose body flows has gone out.
 func (l *Loop) bodySent(now time.Duration, c *Call, n int) {
 	if !c.over && c.Patience > 0 {
@@ -293,7 +352,7 @@
 	if c.over {
 		return false
 	}
-	c.over = true
+	c.end()
 	c.Replies <- Reply{Verdict: Served, Answer: a}
 	l.balancer.StreamStarted(now, c.ID, n)
 	return true
@@ -302,7 +361,8 @@
 // watch makes what happens during an attempt events.
 func (l *Loop) watch(c *Call, n int) upstream.Watch {
 	return upstream.Watch{
-		Sent: func() { l.Post(func(now time.Duration) { l.bodySent(now, c, n) }) },
+		Wanted: l.wanted(c),
+		Sent:   func() { l.Post(func(now time.Duration) { l.bodySent(now, c, n) }) },
 		Begun: func(a upstream.Answer) bool {
 			taken := make(chan bool, 1)
 			l.Post(func(now time.Duration) { taken <- l.begun(now, c, n, a) })
--- a/internal/front/age.go
+++ b/internal/front/age.go
@@ -3,10 +3,7 @@
 import (
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // A process that was stopped, or got no core for long, finds requests in its sockets that have lain there meanwhile. Their
@@ -36,30 +33,13 @@
 // lay tells how long ago the latest bytes came on a request's connection, as the kernel counts, and whether its caller has
 // ended its sending since. Where the kernel does not tell, they came just now.
 func lay(r *http.Request) (ago time.Duration, left bool) {
-	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	if !ok {
-		return 0, false
-	}
-	socket, ok := c.Conn.(syscall.Conn)
+	info, ok := tcpInfo(r)
 	if !ok {
 		return 0, false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			ago, left = time.Duration(info.Last_data_recv)*time.Millisecond, info.State == closeWait
-		}
-	})
-	return ago, left
+	return time.Duration(info.Last_data_recv) * time.Millisecond, info.State == stateCloseWait
 }
 
-// closeWait is the kernel's number for a connection whose peer has ended its sending (include/net/tcp_states.h).
-const closeWait = 8
-
 // arrival is when a request came, and whether its caller has left since. Bytes that lay for less than a stall say nothing:
 // a body's end may come long after its beginning.
 func (s *Server) arrival(r *http.Request, now time.Time) (arrived time.Time, left bool) {
--- /dev/null
+++ b/internal/front/leave_test.go
@@ -0,0 +1,349 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"tuliprock/balance"
+	"tuliprock/internal/body"
+	"tuliprock/internal/core"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/lab/testpeer"
+	"tuliprock/internal/metrics"
+	"tuliprock/internal/route"
+	"tuliprock/internal/upstream"
+)
+
+// crossing is the callers' side, a loop with the real module and the endpoints' side, whose dials wait at a gate.
+type crossing struct {
+	addr     string
+	loop     *core.Loop
+	upstream *upstream.Client
+	dials    chan string // each dial reports its address here
+	gate     func()      // which it passes before it begins
+}
+
+const keyedWindow = 300 * time.Millisecond
+
+var crossingClasses = []balance.Class{{Name: "look", Aim: time.Second}, {Name: "book", Effect: balance.Keyed, Window: keyedWindow, Aim: time.Second},
+	{Name: "pay", Effect: balance.Unsafe, Aim: time.Second}}
+
+// cross starts a crossing before the endpoints a, b, ... gate nil: dials wait for nothing, and are not reported.
+func cross(t *testing.T, mayCancel bool, bodies *body.Pool, gate func(), addrs ...string) *crossing {
+	t.Helper()
+	x := &crossing{dials: make(chan string, 100), gate: gate}
+	u := upstream.New(upstream.Options{Idle: time.Minute, Dial: testpeer.Patience, Most: 200, OnlyOK: true, Connect: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if x.gate != nil {
+			x.dials <- addr
+			x.gate()
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}})
+	log := slog.New(slog.DiscardHandler)
+	x.loop = core.New(core.Module, balance.Settings{Seed: 7, MayCancel: mayCancel, MaxAttempts: 4, Classes: crossingClasses}, u, func() {}, log)
+	x.upstream = u
+	x.loop.List(x.loop.Now(), listOf(t, "Ready", addrs))
+	figures := &metrics.Figures{}
+	service := &Service{}
+	var rules []route.Rule
+	for _, c := range crossingClasses {
+		class := &Class{Name: c.Name, Effect: c.Effect, IDHeader: "Req-Id", KeyHeader: "Idempotency-Key", DeadlineHeader: "Req-Deadline-Ms", MustHaveID: true, MustHaveDeadline: true,
+			DeadlineMost: time.Hour, Figures: figures.Class(c.Name)}
+		rules = append(rules, route.Rule{Name: c.Name, Kind: route.Prefix, Path: "/" + c.Name})
+		service.Targets = append(service.Targets, Target{Pool: x.loop, Class: class})
+	}
+	var err error
+	if service.Table, err = route.New(rules); err != nil {
+		t.Fatal(err)
+	}
+	current := &Current{}
+	current.Swap(service)
+	s := New(Options{Head: 16 << 10, Body: body.Window, HeadTimeout: testpeer.Patience, BodyTimeout: testpeer.Patience, WriteTimeout: testpeer.Patience, Pool: bodies,
+		Figures: figures, Raw: true}, current, log)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.addr = socket.Addr().String()
+	listener := NewListener(Limit(socket, 1000), 1000, testpeer.Patience)
+	server := s.HTTP(listener.Track)
+	ctx, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { x.loop.Run(ctx) })
+	parts.Go(func() { u.Run(ctx) })
+	parts.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() { server.Close(); stop(); parts.Wait() })
+	return x
+}
+
+func listOf(t *testing.T, state string, addrs []string) discovery.Members {
+	t.Helper()
+	var entries []string
+	for i, addr := range addrs {
+		entries = append(entries, testpeer.Member(string(rune('a'+i)), addr, state))
+	}
+	m, err := discovery.ParseMembers([]byte(testpeer.Members(1, true, entries...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// text is a request as clients write it.
+func text(class, id, body string) string {
+	method, extra := "GET", ""
+	if class != "look" {
+		method, extra = "POST", "Content-Length: "+strconv.Itoa(len(body))+"\r\n"
+	}
+	if class == "book" {
+		extra += "Idempotency-Key: k" + id + "\r\n"
+	}
+	return method + " /" + class + " HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 10000\r\n" + extra + "\r\n" + body
+}
+
+func (x *crossing) client(t *testing.T) *net.TCPConn {
+	t.Helper()
+	nc, err := net.Dial("tcp", x.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return nc.(*net.TCPConn)
+}
+
+// settled waits until the loop holds no call any more.
+func (x *crossing) settled(t *testing.T) {
+	t.Helper()
+	testpeer.Until(t, "the loop holds nothing", func() bool {
+		held := make(chan int, 1)
+		x.loop.Post(func(time.Duration) { calls, _, later, _ := x.loop.Held(); held <- calls + later })
+		return <-held == 0
+	})
+}
+
+// hangUp ends a client's connection, by FIN or by RST.
+func hangUp(nc *net.TCPConn, rst bool) {
+	if rst {
+		_ = nc.SetLinger(0)
+	}
+	nc.Close()
+}
+
+// A request whose client leaves while its attempt waits for a connection is not written when that comes up, though bytes behind it
+// keep net/http from seeing the end; and the connection that came up serves the next.
+func TestNothingIsWrittenForAClientThatLeft(t *testing.T) {
+	for _, class := range []string{"look", "book", "pay"} {
+		for _, rst := range []bool{false, true} {
+			for name, behind := range map[string]string{"nothing": "", "a stray line end": "\r\n", "another request": text(class, "next", "")} {
+				t.Run(fmt.Sprintf("%s, RST %v, %s behind", class, rst, name), func(t *testing.T) {
+					e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+					open := make(chan struct{})
+					x := cross(t, false, nil, func() { <-open }, e.Addr)
+					nc := x.client(t)
+					io.WriteString(nc, text(class, "r1", ""))
+					<-x.dials
+					io.WriteString(nc, behind)
+					hangUp(nc, rst)
+					close(open)
+					x.settled(t)
+					if n := e.Requests.Load(); n != 0 {
+						t.Errorf("%d requests came to the endpoint", n)
+					}
+					stays := x.client(t)
+					io.WriteString(stays, text(class, "r2", ""))
+					if resp, err := http.ReadResponse(bufio.NewReader(stays), nil); err != nil || resp.StatusCode != http.StatusOK {
+						t.Errorf("one that stays: %v, %v", resp, err)
+					}
+					if n := e.Connections.Load(); n != 1 {
+						t.Errorf("%d connections were opened", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// What was written before the client left is not called off where settings forbid that: its answer is waited for, and its
+// connection stays.
+func TestWhatWasWrittenIsNotCalledOff(t *testing.T) {
+	came, answer := make(chan bool), make(chan bool)
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, n int) bool {
+		if n == 1 {
+			came <- true
+			<-answer
+		}
+		io.WriteString(nc, testpeer.Served)
+		return true
+	})
+	x := cross(t, false, nil, nil, e.Addr)
+	nc := x.client(t)
+	io.WriteString(nc, text("pay", "r1", ""))
+	<-came
+	hangUp(nc, false)
+	close(answer)
+	x.settled(t)
+	stays := x.client(t)
+	io.WriteString(stays, text("pay", "r2", ""))
+	if resp, err := http.ReadResponse(bufio.NewReader(stays), nil); err != nil || resp.StatusCode != http.StatusOK || e.Connections.Load() != 1 {
+		t.Errorf("%v, %v, %d connections", resp, err, e.Connections.Load())
+	}
+}
+
+// An endpoint that is told off while a connection to it comes up gets nothing: the request goes where it may.
+func TestNothingIsWrittenToAnEndpointToldOffMeanwhile(t *testing.T) {
+	for _, state := range []string{"Terminating", "Gone"} {
+		t.Run(state, func(t *testing.T) {
+			e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+			open := make(chan struct{})
+			x := cross(t, true, nil, func() { <-open }, e.Addr)
+			nc := x.client(t)
+			io.WriteString(nc, text("pay", "r1", ""))
+			<-x.dials
+			told := make(chan bool)
+			x.loop.Post(func(now time.Duration) { x.loop.List(now, listOf(t, state, []string{e.Addr})); close(told) })
+			<-told
+			close(open)
+			if resp, err := http.ReadResponse(bufio.NewReader(nc), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("%v, %v: want a refusal, it never ran", resp, err)
+			}
+			if n := e.Requests.Load(); n != 0 {
+				t.Errorf("%d requests came", n)
+			}
+		})
+	}
+}
+
+// A keyed request that may have run is not written any more once nobody drops its repeats: the connection came up too late.
+func TestAKeyedResendKeepsItsWindowUntilItIsWritten(t *testing.T) {
+	e := testpeer.NewEndpoint(t, func(net.Conn, *http.Request, int) bool { return false }) // a reset after the last byte
+	var dials atomic.Int32
+	open := make(chan struct{})
+	x := cross(t, true, nil, func() {
+		if dials.Add(1) > 1 {
+			<-open
+		}
+	}, e.Addr)
+	nc := x.client(t)
+	began := time.Now()
+	io.WriteString(nc, text("book", "r1", ""))
+	<-x.dials
+	<-x.dials
+	testpeer.Until(t, "the window is over", func() bool { return time.Since(began) > keyedWindow+100*time.Millisecond })
+	close(open)
+	if resp, err := http.ReadResponse(bufio.NewReader(nc), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable { // of group "all"
+		t.Errorf("%v, %v", resp, err)
+	}
+	if n := e.Requests.Load(); n != 1 {
+		t.Errorf("%d requests came, the later ones after the window", n)
+	}
+}
+
+// comings notes when the first byte of each request came to an endpoint.
+type comings struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+func (c *comings) serve(nc net.Conn) {
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		at := time.Now()
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		c.mu.Lock()
+		c.at[r.Header.Get("Req-Id")] = at
+		c.mu.Unlock()
+		io.WriteString(nc, testpeer.Served)
+	}
+}
+
+// Clients leave by FIN and by RST, at random instants, while their requests wait for memory, in the module, for a dial or for a
+// rest: nothing comes to an endpoint after the term, and nothing is left over. TULIPROCK_LEAVES sets how many leave of each class.
+func TestThousandsLeaveWhileTheyWait(t *testing.T) {
+	const term = 300 * time.Millisecond
+	leaves := 500
+	if text := os.Getenv("TULIPROCK_LEAVES"); text != "" {
+		leaves, _ = strconv.Atoi(text)
+	}
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) }) // after all others
+	c := &comings{at: map[string]time.Time{}}
+	var addrs []string
+	for range 3 {
+		addrs = append(addrs, testpeer.Accept(t, c.serve).Addr().String())
+	}
+	x := cross(t, true, body.NewPool(128<<10), nil, addrs...)
+	x.dials = make(chan string, 1<<20)
+	x.gate = func() { <-time.After(time.Duration(rand.Float64() * float64(4*time.Millisecond))) } // a link that is slow, not a wait for an event
+	payload := strings.Repeat("x", 20<<10)
+	var mu sync.Mutex
+	left := map[string]time.Time{}
+	for _, class := range []string{"look", "book", "pay"} {
+		var clients sync.WaitGroup
+		for w := range 32 {
+			clients.Go(func() {
+				for i := w; i < leaves; i += 32 {
+					id := fmt.Sprint(class, i)
+					nc, err := net.Dial("tcp", x.addr)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					carries := ""
+					if class != "look" && i%2 == 0 {
+						carries = payload
+					}
+					io.WriteString(nc, text(class, id, carries)+[]string{"", "\r\n"}[i%2])
+					<-time.After(time.Duration(rand.Float64() * float64(6*time.Millisecond))) // the instant of the leaving, drawn
+					hangUp(nc.(*net.TCPConn), i%3 == 0)
+					mu.Lock()
+					left[id] = time.Now()
+					mu.Unlock()
+				}
+			})
+		}
+		clients.Wait()
+	}
+	x.settled(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late, never, worst := 0, 0, time.Duration(0)
+	for id, at := range left {
+		came, ok := c.at[id]
+		switch after := came.Sub(at); {
+		case !ok:
+			never++
+		case after > term:
+			late++
+			fallthrough
+		default:
+			worst = max(worst, after)
+		}
+	}
+	t.Logf("%d left, %d of them reached no endpoint, the latest %v after its client left", len(left), never, worst)
+	if late > 0 || never == 0 || never == len(left) {
+		t.Errorf("%d came over %v after their clients had left; %d of %d never came", late, term, never, len(left))
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,8 @@
 
 	ending atomic.Bool               // answers close their connections
 	ends   atomic.Pointer[time.Time] // by which all must be answered; nil: none
+	last   chan struct{}             // closed a little after that
+	once   sync.Once
 
 	flowing context.Context // ends when bodies that still flow are cut off
 	cutOff  context.CancelFunc
@@ -64,7 +67,7 @@
 
 // New makes a Server that routes by what is current.
 func New(o Options, current *Current, log *slog.Logger) *Server {
-	s := &Server{o: o, current: current, log: log, stalls: stalls{began: time.Now()}}
+	s := &Server{o: o, current: current, log: log, stalls: stalls{began: time.Now()}, last: make(chan struct{})}
 	s.flowing, s.cutOff = context.WithCancel(context.Background())
 	return s
 }
@@ -72,8 +75,17 @@
 // CutOff ends all bodies that flow, so that their callers can tell.
 func (s *Server) CutOff() { s.cutOff() }
 
-// EndBy makes all that is taken from now on be answered by the instant given.
-func (s *Server) EndBy(at time.Time) { s.ends.Store(&at) }
+// EndBy makes all that is taken from now on be answered by the instant given. What was taken before and is held whole has failed
+// by then: its caller would wait for longer than this process is there. It counts once.
+func (s *Server) EndBy(at time.Time) {
+	s.once.Do(func() {
+		s.ends.Store(&at)
+		time.AfterFunc(time.Until(at)+lastWords, func() { close(s.last) })
+	})
+}
+
+// lastWords is what the module's own answers have, at the end, before this package gives them: ten times the 5 ms that it may be late.
+const lastWords = 50 * time.Millisecond
 
 // Ends tells whether EndBy was called.
 func (s *Server) Ends() bool { return s.ends.Load() != nil }
@@ -166,10 +178,12 @@
 	q.target.Class.Figures.Begin()
 	defer func() { q.target.Class.Figures.End(how) }()
 	pool, c := q.target.Pool, q.call
+	c.Here = func() bool { return isHere(r, c.Message.Upload != nil) }
 	pool.Post(func(now time.Duration) { pool.Start(now, c) })
 	var failed, cut <-chan struct{}
+	last := s.last
 	if u := c.Message.Upload; u != nil {
-		failed, cut = u.Failed(), s.flowing.Done()
+		failed, cut, last = u.Failed(), s.flowing.Done(), nil
 	}
 	select {
 	case reply := <-c.Replies:
@@ -177,6 +191,7 @@
 		return
 	case <-failed:
 	case <-cut:
+	case <-last:
 	case <-r.Context().Done():
 	case <-pool.Done():
 	}
@@ -236,6 +251,9 @@
 
 // write sends the final answer, and tells how the request ended.
 func (s *Server) write(w *closing, r *http.Request, q *asked, reply core.Reply) metrics.End {
+	if reply.Verdict == core.Left {
+		panic(http.ErrAbortHandler)
+	}
 	if reply.Answer.Stream != nil {
 		s.pass(w, r, q, reply.Answer) // it panics where that breaks
 		return metrics.OK
--- a/internal/lab/rehearse/bad_test.go
+++ b/internal/lab/rehearse/bad_test.go
@@ -1,6 +1,7 @@
 package rehearse
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -48,6 +49,10 @@
 		if c.Listen, err = doubled(c.Listen); err != nil {
 			return err
 		}
+	case "keeps sending to what drains": // neither its module nor its connections hear of a drain
+		if c.Discovery, err = deaf(c.Discovery); err != nil {
+			return err
+		}
 	case "finds its port taken":
 		if _, err := net.Listen("tcp", c.Listen); err != nil {
 			return err
@@ -117,6 +122,42 @@
 	return hidden, nil
 }
 
+// deaf gives the address of a discovery that passes on what the one given says, but calls ready what drains.
+func deaf(discovery string) (string, error) {
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		for {
+			caller, err := front.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer caller.Close()
+				behind, err := net.Dial("tcp", discovery)
+				if err != nil {
+					return
+				}
+				defer behind.Close()
+				go io.Copy(behind, caller)
+				b := make([]byte, 64<<10)
+				for {
+					n, err := behind.Read(b)
+					if err != nil {
+						return
+					}
+					if _, err := caller.Write(bytes.ReplaceAll(b[:n], []byte(`"Terminating"`), []byte(`"Ready"      `))); err != nil { // of the same length
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return front.Addr().String(), nil
+}
+
 // bad sends each request somewhere and then breaks a rule.
 type bad struct {
 	balance.Events // what it does not look at: nil
@@ -138,7 +179,7 @@
 		clear(b.ready)
 	}
 	for _, e := range l.Entries {
-		if e.State == balance.Gone || e.State == balance.Draining && b.kind != "keeps sending to what drains" {
+		if e.State != balance.Ready {
 			delete(b.ready, e.ID)
 		} else {
 			b.ready[e.ID] = e
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -57,8 +57,10 @@
 
 // Watch is told what happens during an attempt whose bodies flow. The zero value is for those that are held whole.
 type Watch struct {
-	Sent  func()            // the last byte of the request has gone out
-	Begun func(Answer) bool // an answer that is not held whole has begun; true: it is the caller's, who will close its Stream
+	// Wanted is asked last, before the first byte goes out, and from the attempt's goroutine: false, and nothing does. nil: it is.
+	Wanted func() bool
+	Sent   func()            // the last byte of the request has gone out
+	Begun  func(Answer) bool // an answer that is not held whole has begun; true: it is the caller's, who will close its Stream
 }
 
 // Options of a Client.
@@ -75,7 +77,9 @@
 	Whole  time.Duration // that an answer which is held whole may take to come; 0: 0.5 s
 	Answer int64         // bytes of such an answer, at most; 0: any number
 	Sent   func()        // is told of each attempt whose last byte was written; nil: nobody is
-	OnlyOK bool          // only a 200 is an answer; else every status below 500 but 429 is, and others are errors with an answer
+	// Connect opens connections, each a *net.TCPConn; nil: a net.Dialer does.
+	Connect func(ctx context.Context, network, addr string) (net.Conn, error)
+	OnlyOK  bool // only a 200 is an answer; else every status below 500 but 429 is, and others are errors with an answer
 }
 
 // Client makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
@@ -95,7 +99,7 @@
 type pool struct {
 	addr   string
 	wanted bool // it takes new requests, by the list
-	keep   bool // connections are worth keeping
+	keep   bool // and operators have not taken it out: then its connections are worth keeping, too
 	idle   []*conn
 }
 
@@ -119,6 +123,9 @@
 	if o.Dial <= 0 {
 		o.Dial = defaultDial
 	}
+	if o.Connect == nil {
+		o.Connect = (&net.Dialer{}).DialContext
+	}
 	return &Client{idleFor: time.Duration(float64(o.Idle) * idleShare), dialTimeout: o.Dial, settle: restAfter, o: o,
 		pools: map[string]*pool{}, barred: map[string]bool{}}
 }
@@ -131,8 +138,8 @@
 	}
 }
 
-// SetMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
-// to an endpoint that takes nothing new, are closed.
+// SetMember says where an endpoint is and whether it takes new requests. Idle connections to an old address, or to an
+// endpoint that takes nothing new, are closed; an attempt that has written nothing there yet ends as not sent.
 func (u *Client) SetMember(id, addr string, keep bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -164,11 +171,12 @@
 	}
 }
 
-// isBarred tells whether nothing new may go to an endpoint.
-func (u *Client) isBarred(id string) bool {
+// takes tells whether an endpoint still takes new requests, where a connection leads.
+func (u *Client) takes(id string, c *conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.barred[id]
+	p := u.pools[id]
+	return p != nil && p == c.pool && p.keep && p.addr == c.addr
 }
 
 // RemoveMember forgets an endpoint.
@@ -298,7 +306,7 @@
 func (u *Client) dial(ctx context.Context, p *pool, addr string) (c *conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, u.dialTimeout)
 	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	nc, err := u.o.Connect(ctx, "tcp", addr)
 	if err == nil {
 		if c, err = newConn(nc, p, addr); err == nil {
 			return c, nil
@@ -329,8 +337,8 @@
 	switch {
 	case p == nil:
 		return nil, "", nil, errNoAddress
-	case u.barred[id]:
-		return nil, "", nil, errBarred
+	case !p.keep:
+		return nil, "", nil, errToldOff
 	}
 	i := len(p.idle) - 1
 	for i > 0 && time.Since(p.idle[i].idleAt) < u.settle {
@@ -384,12 +392,15 @@
 	c, err := u.take(ctx, id)
 	switch {
 	case err != nil:
-	case u.isBarred(id): // while it came up, or rested
+	case !u.takes(id, c): // told so while it came up, or rested
 		u.discard(c)
-		err = errBarred
+		err = errToldOff
 	case late(ctx):
 		u.discard(c)
 		err = errLate
+	case w.Wanted != nil && !w.Wanted():
+		u.giveBack(c)
+		err = errUnwanted
 	}
 	if err != nil {
 		return unlessCanceled(ctx, notConnected(err)), false, Answer{}
@@ -408,7 +419,8 @@
 var (
 	errNoAddress     = errors.New("no address is known")
 	errNoDescriptors = errors.New("all descriptors for endpoints are in use")
-	errBarred        = errors.New("operators have taken it out")
+	errToldOff       = errors.New("it takes nothing new")
+	errUnwanted      = errors.New("nobody wants it sent any more")
 	errLate          = errors.New("its time was up before anything was sent")
 )
 
@@ -421,7 +433,7 @@
 
 // notConnected is the outcome where no connection came about. What is lacking here says nothing of the endpoint.
 func notConnected(err error) balance.Result {
-	for _, own := range []error{errNoAddress, errNoDescriptors, errBarred, errLate, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
+	for _, own := range []error{errNoAddress, errNoDescriptors, errToldOff, errLate, errUnwanted, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, own) {
 			return balance.NotSent
 		}
