Discovery's return is heard at once; mute watches and lists in pieces cost no time

What the agent gets at its return counts at once, and 0.55 s later nothing may go to who drains. Ruled out: the call itself (answered in 0.1 ms), the loop. A watch that fell silent, with two calls in vain after it, was made up for 7.7 s after, and what it misses counts as told after 6.

Change: gaps stay at 25 to 75 ms after silence; a first word is waited for 0.4 s; a watch is given up after 4.3 s (two breaths missed); one that opens and says nothing is followed by one whole list, and then kept while it breathes. A message ends where its object ends, for lists may come indented; one that does not end is asked for anew 0.4 s after its latest piece.

Tests fail with the old gap, the old patience, without the list after a mute watch and without the limit for pieces.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,14 +20,16 @@
 )
 
 const (
-	membersPath  = "/catalog/members"
-	maxList      = 4 << 20 // bytes of a list or a line of changes
-	watchSilence = 5 * time.Second
-	askPushed    = 1200 * time.Millisecond // for the first word of an answer: an agent on this machine answers at once,
-	askQueued    = 2500 * time.Millisecond // a service that is asked works through calls in turn
-	retryLeast   = 50 * time.Millisecond
-	retryMost    = time.Second
-	complainGap  = 10 * time.Second // between two log lines about discovery
+	membersPath = "/catalog/members"
+	maxList     = 4 << 20 // bytes of a list or a line of changes
+	// A watch breathes every 2 s. What one misses that has fallen silent counts as told 6 s later, and is sent to for 0.5 s more: two
+	// breaths are missed before it is given up, and two further calls in vain leave more than half a second.
+	watchSilence = 4300 * time.Millisecond
+	askPushed    = 400 * time.Millisecond  // for the first word of an answer: an agent on this machine answers at once, and what it
+	askQueued    = 2500 * time.Millisecond // hears at its return counts at once; a service that is asked works through calls in turn
+	retryLeast   = 50 * time.Millisecond   // after silence: a call that waits when discovery returns is answered at once, a gap is not
+	retryMost    = 400 * time.Millisecond  // after what can't be read
+	complainGap  = 10 * time.Second        // between two log lines about discovery
 )
 
 // Member is an endpoint as discovery lists it.
@@ -108,6 +110,7 @@
 	Failed  func()        // takes the end of a watch, where discovery is asked
 	log     *slog.Logger
 	client  *http.Client
+	doubted bool          // the watch before opened and said nothing: the whole list is wanted, whether or not a version is known
 	silence time.Duration // after which a watch is given up
 	patient time.Duration // how long the first word of an answer is waited for
 	spokeAt time.Time
@@ -187,11 +190,10 @@
 			d.Failed()
 			continue
 		}
-		if heard {
+		if gap = min(2*gap, retryMost); heard || !errors.Is(err, errMalformed) {
 			gap = retryLeast
 		}
 		sleep(ctx, time.Duration(float64(gap)*(0.5+rand.Float64()))) // jitter: all sidecars lose their watch together
-		gap = min(2*gap, retryMost)
 	}
 }
 
@@ -204,6 +206,9 @@
 	}
 }
 
+// errMalformed is why a message was not taken.
+var errMalformed = errors.New("malformed message")
+
 // complain logs, but not more often than of use.
 func (d *Client) complain(err error) {
 	if time.Since(d.spokeAt) > complainGap {
@@ -212,17 +217,20 @@
 	}
 }
 
-// follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything.
+// follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything. A watch begins with what
+// has changed, or says within a breath that nothing has: one that opens and says nothing is not waited for as long as one that
+// has spoken, unless the whole list has just come.
 func (d *Client) follow(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(d.patient, cancel)
 	defer watchdog.Stop()
-	if d.version == nil {
-		if err := d.list(ctx); err != nil {
+	first := d.patient
+	if d.version == nil || d.doubted {
+		if err := d.list(ctx, d.piece(watchdog)); err != nil {
 			return false, err
 		}
-		heard = true
+		heard, first = true, d.silence
 		watchdog.Reset(d.patient)
 	}
 	body, err := d.get(ctx, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
@@ -230,34 +238,54 @@
 		return heard, err
 	}
 	defer body.Close()
-	watchdog.Reset(d.silence)
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4<<10), maxList)
-	for lines.Scan() {
+	watchdog.Reset(first)
+	d.doubted = true
+	parts := bufio.NewScanner(body)
+	parts.Buffer(make([]byte, 0, 4<<10), maxList)
+	var piece func()
+	m := &messages{waits: func(anew bool) {
+		if anew {
+			piece = d.piece(watchdog)
+		}
+		piece()
+	}}
+	parts.Split(m.split)
+	for parts.Scan() {
 		watchdog.Reset(d.silence)
-		heard = true
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
+		heard, d.doubted = true, false
+		text := bytes.TrimSpace(parts.Bytes())
+		if len(text) == 0 {
 			continue
 		}
-		if err := d.take(line); err != nil {
+		if err := d.take(text); err != nil {
 			return heard, err
 		}
 	}
-	if err := lines.Err(); err != nil {
+	if m.halfway() { // what it said is not known, but it was said
+		d.version = nil
+		return heard, fmt.Errorf("watch: %w: it does not end", errMalformed)
+	}
+	if err := parts.Err(); err != nil {
 		return heard, fmt.Errorf("watch: %w", err)
 	}
 	return heard, errors.New("watch: ended by discovery")
 }
 
-// list gets the whole list once.
-func (d *Client) list(ctx context.Context) error {
+// piece gives what to call with each piece of a message: the next has to come as soon as a first word, and the last as soon as a
+// watch has to breathe.
+func (d *Client) piece(watchdog *time.Timer) func() {
+	began := time.Now()
+	return func() { watchdog.Reset(min(d.patient, d.silence-time.Since(began))) }
+}
+
+// list gets the whole list once, and tells of each piece of it.
+func (d *Client) list(ctx context.Context, piece func()) error {
 	body, err := d.get(ctx, "")
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	text, err := io.ReadAll(io.LimitReader(body, maxList))
+	text, err := io.ReadAll(io.LimitReader(inPieces{body, piece}, maxList))
 	if err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
@@ -289,9 +317,9 @@
 	}
 	if err != nil {
 		d.version = nil
-		return fmt.Errorf("malformed message: %w", err)
+		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	d.version = m.Version
+	d.version, d.doubted = m.Version, false
 	d.Deliver(m)
 	return nil
 }
--- /dev/null
+++ b/internal/discovery/silence_test.go
@@ -0,0 +1,241 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tuliprock/internal/lab/testpeer"
+)
+
+// scripted is an agent in virtual time, whose calls are answered by a function on a goroutine each.
+type scripted struct {
+	t      *testing.T
+	serve  func(w io.Writer, query string, n int)
+	mu     sync.Mutex
+	calls  []string // guarded by mu, until all wait
+	heard  []int64
+	at     []time.Duration // of heard, since began
+	began  time.Time
+	client *Client
+}
+
+// script follows a scripted agent for as long as the bubble's test runs.
+func script(t *testing.T, onAsk bool, serve func(s *scripted, w io.Writer, query string, n int)) *scripted {
+	version := int64(7)
+	s := &scripted{t: t, began: time.Now(), client: New("agent:1", &version, onAsk, slog.New(slog.DiscardHandler))}
+	s.serve = func(w io.Writer, query string, n int) { serve(s, w, query, n) }
+	s.client.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		go s.conn(there)
+		return here, nil
+	}}}
+	s.client.Deliver = func(m Members) { s.heard, s.at = append(s.heard, *m.Version), append(s.at, time.Since(s.began)) }
+	s.client.Failed = func() {}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.client.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended; time.Sleep(2 * time.Minute) }) // virtual: the agent's goroutines end
+	return s
+}
+
+func (s *scripted) conn(nc net.Conn) {
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.calls = append(s.calls, r.URL.RawQuery)
+	n := len(s.calls)
+	s.mu.Unlock()
+	s.serve(nc, r.URL.RawQuery, n)
+	_, _ = in.ReadByte() // the caller's end
+}
+
+// open begins an answer that stays open; say writes a part of it.
+func open(w io.Writer) { io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") }
+
+func say(w io.Writer, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+func whole(w io.Writer, text string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func (s *scripted) sinceBegan() time.Duration { return time.Since(s.began) }
+
+// breathe keeps a watch alive; its last breath is at the instant given.
+func (s *scripted) breathe(w io.Writer, until time.Duration) {
+	for s.sinceBegan() <= until {
+		say(w, "\n")
+		time.Sleep(min(2*time.Second, until-s.sinceBegan()+1)) // virtual
+	}
+}
+
+// What a watch misses that has fallen silent is heard within the 6 s after which it counts as told, though the next two calls meet
+// silence, too: whether they are accepted and say nothing, or open a watch that says nothing.
+func TestWhatASilentWatchMissesIsHeardInTime(t *testing.T) {
+	const silentFrom = 10 * time.Second
+	for name, mute := range map[string]func(io.Writer){"calls that meet silence": func(io.Writer) {}, "watches that open and say nothing": open} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := script(t, false, func(s *scripted, w io.Writer, query string, n int) {
+					switch {
+					case n == 1:
+						open(w)
+						s.breathe(w, silentFrom)
+					case n < 4:
+						mute(w)
+					case query == "":
+						whole(w, testpeer.Members(8, true))
+					default:
+						open(w)
+						say(w, testpeer.Members(8, false)+"\n")
+					}
+				})
+				time.Sleep(silentFrom + 6*time.Second) // virtual
+				synctest.Wait()
+				if len(s.heard) == 0 {
+					t.Errorf("nothing was heard 6 s after the silence began, calls %q", s.calls)
+				}
+			})
+		})
+	}
+}
+
+// An agent that is silent for long answers the calls that wait when it returns, and what it tells then counts at once: one always
+// waits, but for a short gap.
+func TestDiscoverysReturnIsHeardAtOnce(t *testing.T) {
+	const down = 5 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		up := down + time.Duration(rapid.IntRange(int(5*time.Second), int(60*time.Second)).Draw(rt, "down for"))
+		late := time.Duration(-1)
+		synctest.Test(t, func(t *testing.T) {
+			s := script(t, false, func(s *scripted, w io.Writer, _ string, n int) {
+				if n == 1 {
+					open(w)
+					s.breathe(w, down)
+					return
+				}
+				time.Sleep(max(up-s.sinceBegan(), 0)) // virtual
+				open(w)
+				say(w, testpeer.Members(8, false)+"\n")
+			})
+			time.Sleep(up + 2*time.Second) // virtual
+			synctest.Wait()
+			if len(s.at) > 0 {
+				late = s.at[0] - up
+			}
+		})
+		if late < 0 || late > 2*retryLeast {
+			rt.Fatalf("down until %v, heard %v later", up, late)
+		}
+	})
+}
+
+// A watch that says nothing while nothing has changed, but breathes, is kept: after one list it is taken for what it is.
+func TestAWatchThatOnlyBreathesIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := script(t, false, func(s *scripted, w io.Writer, query string, n int) {
+			if query == "" {
+				whole(w, testpeer.Members(8, true))
+				return
+			}
+			open(w)
+			time.Sleep(2 * time.Second) // virtual
+			s.breathe(w, time.Minute)
+		})
+		time.Sleep(50 * time.Second) // virtual
+		synctest.Wait()
+		if want := []string{"watch=1&after=7", "", "watch=1&after=8"}; fmt.Sprint(s.calls) != fmt.Sprint(want) {
+			t.Errorf("calls %q, want %q", s.calls, want)
+		}
+	})
+}
+
+// A message that begins and does not end is spoilt: the whole list is asked for at once, and not when the watch falls silent.
+func TestAMessageThatDoesNotEndStartsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := script(t, false, func(s *scripted, w io.Writer, query string, n int) {
+			switch {
+			case n == 1:
+				open(w)
+				say(w, "\n")
+				say(w, `{"version":8,"full":false,"servers":[`+"\n")
+			case query == "":
+				whole(w, testpeer.Members(9, true))
+			default:
+				open(w)
+				s.breathe(w, time.Minute)
+			}
+		})
+		time.Sleep(500 * time.Millisecond) // virtual: who was told off there would get no more
+		synctest.Wait()
+		if len(s.heard) != 1 || s.heard[0] != 9 {
+			t.Errorf("heard %v, calls %q", s.heard, s.calls)
+		}
+	})
+}
+
+const indented = "{\n  \"version\": 8,\n  \"full\": true,\n  \"servers\": [\n    {\n      \"id\": \"a } \\\" {\",\n      \"addr\": \"127.0.0.1:1\",\n      \"state\": \"Ready\"\n    }\n  ]\n}\n"
+
+// Lists may come indented, and in pieces: a watch cut at every byte says the same.
+func TestAWatchCutAtEveryByte(t *testing.T) {
+	stream := "\n" + indented + "\n\n" + testpeer.Members(9, false, testpeer.Member("b", "127.0.0.1:2", "Terminating")) + "\r\n" + indented + testpeer.Members(10, false) + "\n\n"
+	want := "breath 8 breath breath 9 8 10 breath"
+	for cut := range len(stream) {
+		m := &messages{waits: func(bool) {}}
+		parts := bufio.NewScanner(io.MultiReader(strings.NewReader(stream[:cut]), strings.NewReader(stream[cut:])))
+		parts.Split(m.split)
+		var got []string
+		for parts.Scan() {
+			text := strings.TrimSpace(parts.Text())
+			if text == "" {
+				got = append(got, "breath")
+				continue
+			}
+			members, err := ParseMembers([]byte(text))
+			if err != nil {
+				t.Fatalf("cut at %d: %q: %v", cut, text, err)
+			}
+			got = append(got, fmt.Sprint(*members.Version))
+		}
+		// A cut between an object and its line's end makes that a breath: harmless.
+		if s := strings.Join(got, " "); s != want && strings.ReplaceAll(s, "breath ", "") != strings.ReplaceAll(want, "breath ", "") {
+			t.Errorf("cut at %d: %s, want %s", cut, s, want)
+		}
+		if m.halfway() {
+			t.Errorf("cut at %d: halfway at the end", cut)
+		}
+	}
+}
+
+// The same over a socket: an indented list and a change, a byte at a time.
+func TestAnIndentedListIsTakenFromAWatch(t *testing.T) {
+	addr := testpeer.Accept(t, func(nc net.Conn) {
+		defer nc.Close()
+		in := bufio.NewReader(nc)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		open(nc)
+		for _, b := range []byte(indented + testpeer.Members(9, false) + "\n") {
+			say(nc, string(b))
+		}
+		_, _ = in.ReadByte()
+	}).Addr().String()
+	f := follow(t, 7, func(d *Client) { d.addr = addr })
+	f.expectVersions(t, 8, 9)
+}
