The end after SIGTERM follows from the settings' deadlines; lists go past what waits

Seen by reading: the platform kills after the longest deadline (3 s at most) and 0.7 s more, and sidecar.drain was laid out for 3.7 s whatever the deadlines: with short ones it still served at 2.2 s what the kill would find unanswered. And what was taken before the signal kept its own deadline, later than the kill where deadlines are over 3 s and an endpoint hangs.

A list waited behind up to 256 events, in which the module still sent by the old one: it goes past them, as operators' calls do.

--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -31,6 +31,7 @@
 
 	BodyMemory int           // bytes; 0: bodies are held whole, and have lengths
 	Drain      time.Duration // from the signal to end until bodies that still flow are cut off
+	Grace      time.Duration // from that signal until the process is killed at the earliest
 }
 
 // PoolSpec is a pool as it is built.
@@ -118,9 +119,24 @@
 	platformIdle     = 5 * time.Second         // for which a peer may say nothing, or be behind
 	platformFlow     = 10 * time.Minute        // 32 MB at 64 kB a second take 8.5
 	platformBodyPart = 8                       // one of so many bytes of the memory is for bodies: two processes share the limit
-	platformDrain    = 3400 * time.Millisecond // SIGKILL comes no sooner than 3.7 s after SIGTERM
 )
 
+// SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more after SIGTERM. What is cut off by then has
+// to be told to callers before.
+const (
+	killDeadline = 3 * time.Second
+	killMore     = 700 * time.Millisecond
+	killCutOff   = 300 * time.Millisecond
+)
+
+// grace is how long the platform leaves a process after SIGTERM. longest is the longest deadline; 0: not told.
+func grace(longest time.Duration) time.Duration {
+	if longest <= 0 {
+		longest = killDeadline
+	}
+	return min(longest, killDeadline) + killMore
+}
+
 // What descriptors are kept for, of the platform's limit, besides connections of callers and to endpoints.
 const (
 	otherDescriptors = 24
@@ -150,7 +166,8 @@
 	l.HeadTimeout, l.BodyTimeout, l.BodyBytes, l.FlowIdle, l.FlowRate = platformHead, platformShort, platformBody, platformIdle, platformRate
 	pool := PoolSpec{Name: platformPool, Settings: settings, Connections: each, Dial: c.Settings.DialTimeout, Idle: c.Settings.ConnIdle, LastByte: true, OnlyOK: true,
 		AnswerBytes: platformBody, Flow: body.Pace{Idle: platformIdle}, Source: SourceSpec{Agent: c.Discovery, Known: c.Known}}
-	s.BodyMemory, s.Drain = c.Limits.MemoryMB<<20/platformBodyPart, platformDrain
+	s.Grace = grace(c.Settings.Longest)
+	s.BodyMemory, s.Drain = c.Limits.MemoryMB<<20/platformBodyPart, s.Grace-killCutOff
 	if c.Descriptor > 0 { // others may have the same socket
 		l.Descriptor, pool.Source.Anew, s.Shared = c.Descriptor, true, c.Shared
 	}
@@ -181,7 +198,7 @@
 
 // Service is the file in the daemon's own terms.
 func (f *File) Service() Service {
-	s := Service{File: f, Refuses: f.Shared.Unsure == unsureRefuse, Admin: f.Daemon.AdminAddr, Fleet: f.fleet(), Operators: f.operators(), BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
+	s := Service{File: f, Grace: grace(0), Refuses: f.Shared.Unsure == unsureRefuse, Admin: f.Daemon.AdminAddr, Fleet: f.fleet(), Operators: f.operators(), BodyMemory: f.Daemon.BodyMemoryMB << 20, Drain: f.Daemon.DrainTimeout, Name: f.Daemon.Name, Limits: Limits{Cores: f.Daemon.Cores, MemoryMB: f.Daemon.MemoryMB}, Listeners: f.Listener, Table: f.table}
 	classes := map[string]*Class{}
 	for i := range f.Class {
 		classes[f.Class[i].Name] = &f.Class[i]
--- /dev/null
+++ b/internal/sidecar/end_test.go
@@ -0,0 +1,105 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tuliprock/internal/config"
+	"tuliprock/internal/core"
+	"tuliprock/internal/discovery"
+	"tuliprock/internal/lab/testpeer"
+	"tuliprock/internal/metrics"
+)
+
+// A list that says who drains does not stand behind the events that wait: what is decided after it was told goes elsewhere.
+func TestAListDoesNotWaitBehindRequests(t *testing.T) {
+	const behind, soon = 200, 30 // the loop draws between the two queues: 30 in a row are one in a billion
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(core.Module, config.PoolSpec{Name: "p"}, nil, &metrics.Figures{}, slog.New(slog.DiscardHandler))
+		defer p.end()
+		jam := make(chan struct{})
+		p.loop.Post(func(time.Duration) { <-jam })
+		passed, heardAfter := 0, -1
+		for range behind {
+			p.loop.Post(func(time.Duration) {
+				if _, members, _, _ := p.loop.Held(); members > 0 && heardAfter < 0 {
+					heardAfter = passed
+				}
+				passed++
+			})
+		}
+		go p.deliver(discovery.Members{Full: true, Servers: []discovery.Member{{ID: "a", Addr: "127.0.0.1:1"}}})
+		synctest.Wait()
+		close(jam)
+		synctest.Wait()
+		if heardAfter < 0 || heardAfter > soon {
+			t.Errorf("the list was heard after %d of %d events that waited (-1: after all)", heardAfter, passed)
+		}
+	})
+}
+
+// At SIGTERM the platform leaves the longest deadline and a little more: what is taken, then or before, has its answer by then, though
+// its own time is longer and its endpoint hangs.
+func TestEverythingIsAnsweredBeforeTheKill(t *testing.T) {
+	const grace = 1200 * time.Millisecond
+	came := make(chan bool, 10)
+	e := testpeer.NewEndpoint(t, func(net.Conn, *http.Request, int) bool { came <- true; return true })
+	s := runWithin(t, "{}", []func(*config.Service){func(c *config.Service) { c.Grace = grace }}, e.Addr)
+	hung := func(id, class string) *bufio.Reader {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		method := map[string]string{"look": http.MethodGet, "pay": http.MethodPost}[class]
+		if err := s.request(t, method, "/"+class, id, 3600000).Write(nc); err != nil {
+			t.Fatal(err)
+		}
+		<-came
+		return bufio.NewReader(nc)
+	}
+	before, after := []*bufio.Reader{hung("1", "look"), hung("2", "pay")}, []*bufio.Reader(nil)
+	began := time.Now()
+	s.term()
+	testpeer.Until(t, "the end is near", func() bool { return s.callers.Ends() })
+	after = append(after, hung("3", "look"), hung("4", "pay"))
+	for i, in := range append(before, after...) {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i+1, err)
+		}
+		if unsafe := i%2 == 1; unsafe && resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("request %d may have run, and got %d", i+1, resp.StatusCode)
+		}
+	}
+	took := time.Since(began)
+	t.Logf("all answered after %v of %v", took, grace)
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+	if took < grace/2 {
+		t.Errorf("given up after %v: there was more time", took)
+	}
+}
+
+// The grace follows from the deadlines that the settings name, and is never longer than the platform's.
+func TestTheGraceFollowsFromTheSettings(t *testing.T) {
+	for limits, want := range map[[2]int]time.Duration{{500, 800}: 1500 * time.Millisecond, {500, 6000}: 3700 * time.Millisecond, {0, 500}: 3700 * time.Millisecond} {
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","settings":{"Lanes":[
+			{"Name":"x","Semantics":"read_like","HardLimitUs":%d},{"Name":"y","Semantics":"non_idempotent","HardLimitUs":%d}]}}`, 1000*limits[0], 1000*limits[1])
+		c, err := config.Parse([]byte(text), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		service, err := c.Service()
+		if err != nil || service.Grace != want || service.Drain >= want {
+			t.Errorf("%v: grace %v, drain %v, %v; want %v", limits, service.Grace, service.Drain, err, want)
+		}
+	}
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -77,17 +77,17 @@
 }
 
 // drain ends the callers' side. It guards against losing what the kernel has accepted, and against turning callers
-// away for as long as this process is there to serve them: for a while all goes on as before, as long as callers are
+// away for as long as this process is there to serve them: for the time given all goes on as before, as long as callers are
 // connected; then answers say Connection: close, and idle connections are closed. There is no further limit of time:
 // requests end by their deadlines, those taken from now on in time for the end, and net/http closes connections that
 // bring none. A listener whose socket has another server behind it need not wait, but where that is another process's the
 // connections that callers have here are theirs for as long: its answers close them.
-func (l *listener) drain(by heir) error {
+func (l *listener) drain(by heir, serve time.Duration) error {
 	began := time.Now()
 	if by == process {
 		l.callers.CloseAll(true)
 	}
-	for d := time.Duration(0); by != server && (by == nobody && d < acceptAfterTerm || d < serveAfterTerm && l.conns.Count() > 0); d = time.Since(began) {
+	for d := time.Duration(0); by != server && (by == nobody && d < acceptAfterTerm || d < serve && l.conns.Count() > 0); d = time.Since(began) {
 		time.Sleep(lookAround)
 	}
 	l.callers.CloseAll(true)
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -79,11 +79,12 @@
 	}
 }
 
+// deliver hands on a list past the events that wait: who drains must not get more of what stands before it.
 func (p *pool) deliver(m discovery.Members) {
-	p.loop.Post(func(now time.Duration) { p.loop.List(now, m); p.heard.Store(true) })
+	_ = p.loop.Do(context.Background(), func(now time.Duration) { p.loop.List(now, m); p.heard.Store(true) }) // else the loop has ended
 }
 
-func (p *pool) failed() { p.loop.Post(p.loop.DiscoveryFailed) }
+func (p *pool) failed() { _ = p.loop.Do(context.Background(), p.loop.DiscoveryFailed) }
 
 // follow starts the source of members that the pool is told, in place of the one it has. The list stands until the new
 // one says otherwise.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,10 +24,10 @@
 )
 
 const (
-	acceptAfterTerm = 600 * time.Millisecond  // new connections go on coming for a while after SIGTERM,
-	serveAfterTerm  = 2200 * time.Millisecond // callers go on using theirs for as long as these stay open,
+	acceptAfterTerm = 600 * time.Millisecond  // new connections go on coming for a while after SIGTERM, callers go on using theirs for as
+	serveLeft       = 1500 * time.Millisecond // long as these stay open, if so much is left until the process is killed,
+	answerLeft      = 200 * time.Millisecond  // and what is not answered when so much is left goes under with it
 	lookAround      = 10 * time.Millisecond
-	answerAfterTerm = 3500 * time.Millisecond // and what is not answered by now goes under with the process
 )
 
 // errEnding is a reload that comes too late.
@@ -41,6 +41,7 @@
 	failed  chan error     // a listener that can't go on
 	bodies  *body.Pool     // nil: bodies are held whole; fixed at the start
 	drains  time.Duration  // from the end's beginning until bodies that flow are cut off; fixed at the start
+	grace   time.Duration  // from then until the process is killed at the earliest; fixed at the start
 	retired sync.WaitGroup // what a reload took out and has not ended yet
 	figures *metrics.Figures
 	hands   *hands
@@ -77,7 +78,7 @@
 // only beside others.
 func StartWith(decide core.Decider, c config.Service, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{decide: decide, log: log, failed: make(chan error, 1), listeners: map[string]*listener{}, leaving: map[*listener]bool{},
-		running: map[*pool]bool{}, drains: c.Drain, figures: &metrics.Figures{}, hands: newHands()}
+		running: map[*pool]bool{}, drains: c.Drain, grace: c.Grace, figures: &metrics.Figures{}, hands: newHands()}
 	if c.BodyMemory > 0 {
 		s.bodies = body.NewPool(c.BodyMemory)
 	}
@@ -302,7 +303,7 @@
 	s.leaving[l] = true
 	l.leaving.Store(true)
 	s.retired.Go(func() {
-		if err := l.drain(by); err != nil {
+		if err := l.drain(by, s.grace-serveLeft); err != nil {
 			s.log.Warn("a listener did not end well", "listener", l.spec.Name, "err", err)
 		}
 		s.mu.Lock()
@@ -347,13 +348,13 @@
 	ending := slices.AppendSeq(slices.Collect(maps.Keys(s.leaving)), maps.Values(open))
 	for _, l := range ending {
 		l.leaving.Store(true)
-		l.callers.EndBy(time.Now().Add(answerAfterTerm))
+		l.callers.EndBy(time.Now().Add(s.grace - answerLeft))
 		defer time.AfterFunc(s.drains, l.callers.CutOff).Stop()
 	}
 	s.mu.Unlock()
 	errs := make(chan error, len(open))
 	for _, l := range open {
-		go func() { errs <- l.drain(by) }()
+		go func() { errs <- l.drain(by, s.grace-serveLeft) }()
 	}
 	var all error
 	for range open {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -18,6 +18,7 @@
 	Lanes      []struct {
 		Name, Semantics, Group string
 		OnTimeUs, WindowUs     int64
+		HardLimitUs            int64
 	}
 	Accounts []struct {
 		Name      string
@@ -47,6 +48,7 @@
 	balance.Settings
 	ConnIdle    time.Duration // an endpoint closes a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
+	Longest     time.Duration // that a client of any class waits in all; 0: not told of each
 }
 
 // ParseSettings reads the settings object, which the simulator and the deployment give in the same form.
@@ -73,7 +75,9 @@
 	default:
 		return s, fmt.Errorf("Config: unknown Discovery %q", c.Discovery)
 	}
+	told := true
 	for _, l := range c.Lanes {
+		s.Longest, told = max(s.Longest, us(l.HardLimitUs)), told && l.HardLimitUs > 0
 		k := balance.Class{Name: l.Name, Window: us(l.WindowUs), Aim: us(l.OnTimeUs)}
 		switch l.Semantics {
 		case "read_like":
@@ -97,6 +101,9 @@
 		}
 		s.Classes = append(s.Classes, k)
 	}
+	if !told {
+		s.Longest = 0
+	}
 	for _, a := range c.Accounts {
 		s.Tenants = append(s.Tenants, balance.Tenant{Name: a.Name, Quota: a.QuotaPerS})
 	}
