Over-share requests are refused by rate only while answers stretch

Ruled out: lateness (0.5 %), failures (none), room (331), resends. The rule was fitted to a front that spreads evenly.

Change: by rate only while answers stretch (wary, as for room in use).

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -207,7 +207,8 @@
 }
 
 // Request is admission: refuse at once what cannot be in time, or is over its tenant's share while room
-// is short or more is asked than all shares together (quiet callers see that before endpoints are full); else
+// is short or, with answers that stretch, more is asked than all shares together (quiet callers see that
+// before endpoints are full; by itself it may mean that the front gives this caller more than others); else
 // send it, or hold it until there is room.
 func (b *Balancer) Request(now time.Duration, r Request) {
 	c := b.classes[r.Class]
@@ -221,7 +222,7 @@
 	b.budget = min(b.budget+resendShare, resendMost)
 	over := b.overShare(now, q)
 	used := float64(b.out) > overRoom*b.room && b.stretch > wary
-	pressed := len(b.waiting) > 0 || used || b.rate(now) > allShares*b.quota
+	pressed := len(b.waiting) > 0 || used || b.stretch > wary && b.rate(now) > allShares*b.quota
 	if now >= q.giveUp || b.shut() || pressed && over || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
 		b.end(now, q)
 		return
