A long request is not written for a client that left while its attempt waited

Until the body has come to its end net/http does not read in the background, so its context does not end; and the last look asked the kernel about requests alone that are held whole (front.isHere, flows). Ruled out: the pump, which notices a client that breaks off in the middle (nothing runs then), and the upload's own error, which nobody reads for while a dial is under way.

isHere asks the kernel about every request now. Where it says that the caller has ended its sending, what stands ahead of that is read and dropped (Upload.Exhaust), so that one who only ended its sending in the middle of a body still gets its 400, and is not asked for a body that it waits to be asked for.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -108,6 +108,23 @@
 	return u.err
 }
 
+// Exhaust reads on to the body's end and drops what comes. It is for a sender who has ended, so that nothing has to be waited for;
+// the error says why there is no end. A body of which nothing came is not read: that would ask for it.
+func (u *Upload) Exhaust() error {
+	u.mu.Lock()
+	if u.Expects && u.got == 0 && u.mayRead() == nil {
+		u.note(io.ErrUnexpectedEOF)
+	}
+	u.mu.Unlock()
+	for {
+		if _, err := u.read(nil); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // Settle is Err once no read is under way: net/http tells of a read that failed before the read returns.
 func (u *Upload) Settle() error {
 	u.mu.Lock()
--- a/internal/front/here.go
+++ b/internal/front/here.go
@@ -9,19 +9,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// isHere tells whether a request's caller still waits for it. net/http sees an end by reading on, and does not read on once a
-// byte has come behind the request: the kernel is asked, too, but for a body that flows, whose end may lie behind bytes that are
-// still to be read. It may be called from any goroutine; after the request's end nobody is here.
+// isHere tells whether a request's caller still waits for it. net/http sees an end by reading on, and does not read on while a body
+// has not come to its end, nor once a byte has come behind the request: the kernel is asked, too. It may be called from any
+// goroutine; after the request's end nobody is here.
 //
 // The order counts: net/http's word comes last, for a handler that sees the end meanwhile ends the request, and then its connection.
-func isHere(r *http.Request, flows bool) bool {
-	if !flows {
-		switch info, err := tcpInfo(r); {
-		case errors.Is(err, net.ErrClosed):
-			return false
-		case err == nil && (info.State == stateCloseWait || info.State == stateClose):
-			return false
-		}
+func isHere(r *http.Request) bool {
+	switch info, err := tcpInfo(r); {
+	case errors.Is(err, net.ErrClosed):
+		return false
+	case err == nil && (info.State == stateCloseWait || info.State == stateClose):
+		return false
 	}
 	return r.Context().Err() == nil
 }
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -47,7 +47,8 @@
 func cross(t *testing.T, mayCancel bool, bodies *body.Pool, gate func(), addrs ...string) *crossing {
 	t.Helper()
 	x := &crossing{dials: make(chan string, 100), gate: gate}
-	u := upstream.New(upstream.Options{Idle: time.Minute, Dial: testpeer.Patience, Most: 200, OnlyOK: true, Connect: func(ctx context.Context, network, addr string) (net.Conn, error) {
+	pace := body.Pace{Idle: testpeer.Patience}
+	u := upstream.New(upstream.Options{Idle: time.Minute, Pool: bodies, Pace: pace, Dial: testpeer.Patience, Most: 200, OnlyOK: true, Connect: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if x.gate != nil {
 			x.dials <- addr
 			x.gate()
@@ -73,7 +74,7 @@
 	}
 	current := &Current{}
 	current.Swap(service)
-	s := New(Options{Head: 16 << 10, Body: body.Window, HeadTimeout: testpeer.Patience, BodyTimeout: testpeer.Patience, WriteTimeout: testpeer.Patience, Pool: bodies,
+	s := New(Options{Head: 16 << 10, Body: 1 << 20, HeadTimeout: testpeer.Patience, BodyTimeout: testpeer.Patience, WriteTimeout: testpeer.Patience, Pool: bodies, Pace: pace,
 		Figures: figures, Raw: true}, current, log)
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -197,6 +198,58 @@
 	}
 }
 
+// A long request whose client leaves while its attempt waits for a connection is not written either, though nobody reads on what
+// stands between its beginning and the end of its body: it may be whole there. Who ends its sending alone learns what became of it.
+func TestNothingIsWrittenOfALongRequestWhoseClientLeft(t *testing.T) {
+	const size = body.Window + 1<<10
+	for _, class := range []string{"book", "pay"} {
+		for _, whole := range []bool{false, true} {
+			for _, how := range []string{"FIN", "RST", "ends its sending"} {
+				t.Run(fmt.Sprintf("%s, whole %v, %s", class, whole, how), func(t *testing.T) {
+					var wrote atomic.Int64
+					l := testpeer.Accept(t, func(nc net.Conn) {
+						n, _ := io.Copy(io.Discard, nc)
+						wrote.Add(n)
+						nc.Close()
+					})
+					open := make(chan struct{})
+					x := cross(t, false, body.NewPool(1<<20), func() { <-open }, l.Addr().String())
+					nc := x.client(t)
+					long := text(class, "r1", strings.Repeat("x", size))
+					if !whole {
+						long = long[:len(long)-1]
+					}
+					io.WriteString(nc, long)
+					select {
+					case <-x.dials:
+					case <-time.After(testpeer.Patience):
+						t.Fatal("no connection is wanted")
+					}
+					if how == "ends its sending" {
+						_ = nc.CloseWrite()
+					} else {
+						hangUp(nc, how == "RST")
+					}
+					close(open)
+					x.settled(t)
+					if n := wrote.Load(); n != 0 {
+						t.Errorf("%d bytes came to the endpoint", n)
+					}
+					if how != "ends its sending" {
+						return
+					}
+					switch resp, err := http.ReadResponse(bufio.NewReader(nc), nil); {
+					case whole && err == nil:
+						t.Errorf("who left was answered: %s", resp.Status)
+					case !whole && (err != nil || resp.StatusCode != http.StatusBadRequest):
+						t.Errorf("a body without its end: %v, %v", resp, err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // What was written before the client left is not called off where settings forbid that: its answer is waited for, and its
 // connection stays.
 func TestWhatWasWrittenIsNotCalledOff(t *testing.T) {
@@ -311,11 +364,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !isHere(r, false) {
+	if !isHere(r) {
 		t.Error("a client that waits is not here")
 	}
 	c.Close()
-	if isHere(r, false) {
+	if isHere(r) {
 		t.Error("somebody is here on a closed connection")
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -178,28 +178,17 @@
 	q.target.Class.Figures.Begin()
 	defer func() { q.target.Class.Figures.End(how) }()
 	pool, c := q.target.Pool, q.call
-	c.Here = func() bool { return isHere(r, c.Message.Upload != nil) }
+	c.Here = func() bool { return isHere(r) }
 	pool.Post(func(now time.Duration) { pool.Start(now, c) })
-	var failed, cut <-chan struct{}
-	last := s.last
-	if u := c.Message.Upload; u != nil {
-		failed, cut, last = u.Failed(), s.flowing.Done(), nil
-	}
-	select {
-	case reply := <-c.Replies:
+	reply, answered := s.await(r, q)
+	if answered && reply.Verdict != core.Left {
 		how = s.write(w, r, q, reply)
 		return
-	case <-failed:
-	case <-cut:
-	case <-last:
-	case <-r.Context().Done():
-	case <-pool.Done():
 	}
-	if reply, answered := leave(q); answered {
-		how = s.write(w, r, q, reply)
-		return
+	u, gone := c.Message.Upload, answered || r.Context().Err() != nil
+	if answered && u != nil { // the kernel's word of the end came before what stands ahead of it was read
+		_ = u.Exhaust()
 	}
-	u, gone := c.Message.Upload, r.Context().Err() != nil
 	switch {
 	case u != nil && (u.Err() != nil || gone && u.Settle() != nil): // a body that does not come looks like a caller that has left, too
 		broken(u.Err()).reject(w)
@@ -210,6 +199,25 @@
 	}
 }
 
+// await waits for the final answer. It is false if there is none: the caller has left, its body does not come, or this process ends.
+func (s *Server) await(r *http.Request, q *asked) (reply core.Reply, answered bool) {
+	var failed, cut <-chan struct{}
+	last := s.last
+	if u := q.call.Message.Upload; u != nil {
+		failed, cut, last = u.Failed(), s.flowing.Done(), nil
+	}
+	select {
+	case reply := <-q.call.Replies:
+		return reply, true
+	case <-failed:
+	case <-cut:
+	case <-last:
+	case <-r.Context().Done():
+	case <-q.target.Pool.Done():
+	}
+	return leave(q)
+}
+
 // leave says that nobody waits for a request any more. If it was answered before, there is the answer.
 func leave(q *asked) (reply core.Reply, answered bool) {
 	left := make(chan bool, 1)
@@ -251,9 +259,6 @@
 
 // write sends the final answer, and tells how the request ended.
 func (s *Server) write(w *closing, r *http.Request, q *asked, reply core.Reply) metrics.End {
-	if reply.Verdict == core.Left {
-		panic(http.ErrAbortHandler)
-	}
 	if reply.Answer.Stream != nil {
 		s.pass(w, r, q, reply.Answer) // it panics where that breaks
 		return metrics.OK
