A request waits for memory no longer than its caller waits for an answer

Seen by reading the waits: a short body's request waited for body memory up to the limit for bodies (2.5 s on the platform), whatever its own deadline, and was then refused: for a deadline of 480 ms two seconds after its time. Long ones had the bound. Ruled out as guards: the module, which hears of the request only after; the last look, for the same reason. At fault: front.reserve, which bounded its wait by BodyTimeout alone.

One that finds no memory at once is read as far as its deadline, and waits for what is left of that; bad input found so gets its 4xx at once. TestThousandsLeaveWhileTheyWait now has long bodies among its requests.

--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -250,6 +250,26 @@
 	}
 }
 
+// A request that waits for memory is refused before its own time is up, and not when a body's is.
+func TestNobodyWaitsForMemoryBeyondItsOwnTime(t *testing.T) {
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	pool := body.NewPool(body.Window)
+	x := cross(t, false, pool, nil, e.Addr)
+	if err := pool.Take(t.Context(), body.Size{Bytes: body.Window}); err != nil {
+		t.Fatal(err)
+	}
+	nc := x.client(t)
+	began := time.Now()
+	io.WriteString(nc, textWithin("pay", "r1", "small", 200*time.Millisecond))
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if took := time.Since(began); err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || took > testpeer.Patience/2 {
+		t.Errorf("%v, %v after %v", resp, err, took)
+	}
+	if n := e.Requests.Load(); n != 0 {
+		t.Errorf("%d requests came to the endpoint", n)
+	}
+}
+
 // What was written before the client left is not called off where settings forbid that: its answer is waited for, and its
 // connection stays.
 func TestWhatWasWrittenIsNotCalledOff(t *testing.T) {
@@ -388,10 +408,10 @@
 	for range 3 {
 		addrs = append(addrs, testpeer.Accept(t, c.serve).Addr().String())
 	}
-	x := cross(t, true, body.NewPool(128<<10), nil, addrs...)
+	x := cross(t, true, body.NewPool(256<<10), nil, addrs...)
 	x.dials = make(chan string, 1<<20)
 	x.gate = func() { <-time.After(time.Duration(rand.Float64() * float64(4*time.Millisecond))) } // a link that is slow, not a wait for an event
-	payload := strings.Repeat("x", 20<<10)
+	payload, long := strings.Repeat("x", 20<<10), strings.Repeat("x", body.Window+1)
 	files := descriptors(t)
 	var mu sync.Mutex
 	left := map[string]time.Time{}
@@ -407,8 +427,8 @@
 						return
 					}
 					carries := ""
-					if class != "look" && i%2 == 0 {
-						carries = payload
+					if class != "look" {
+						carries = []string{payload, "", payload, "", long, "", payload, ""}[i%8]
 					}
 					io.WriteString(nc, textWithin(class, id, carries, 2*time.Second)+[]string{"", "\r\n"}[i%2])
 					<-time.After(time.Duration(rand.Float64() * float64(24*time.Millisecond))) // the instant of the leaving, drawn
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -31,20 +31,49 @@
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// reserve waits its turn for a short body's memory.
-func (s *Server) reserve(r *http.Request) (giveBack func(), _ *bad) {
+// reserve waits its turn for a short body's memory, for as long as its caller would wait for an answer.
+func (s *Server) reserve(r *http.Request, arrived time.Time) (giveBack func(), _ *bad) {
 	size := body.Size{Bytes: int(r.ContentLength)}
 	if s.o.Pool == nil || size.Bytes <= 0 {
 		return func() {}, nil
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), s.o.BodyTimeout)
-	defer cancel()
-	if err := s.o.Pool.Take(ctx, size); err != nil {
+	switch err := s.o.Pool.Take(noTime, size); {
+	case errors.Is(err, noTime.Err()):
+		if bad := s.waitForMemory(r, arrived, size); bad != nil {
+			return nil, bad
+		}
+	case err != nil:
 		return nil, noMemory(err)
 	}
 	return func() { s.o.Pool.Give(size) }, nil
 }
 
+// noTime is for what is not to be waited for.
+var noTime = func() context.Context {
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	return ctx
+}()
+
+func (s *Server) waitForMemory(r *http.Request, arrived time.Time, size body.Size) *bad {
+	service := s.current.take()
+	defer service.inUse.Done()
+	q, bad := s.read(service, r, true)
+	if bad != nil {
+		return bad
+	}
+	most := time.Now().Add(s.o.BodyTimeout)
+	if own := s.inTime(arrived.Add(q.left - wayBack)); own.Before(most) {
+		most = own
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), most)
+	defer cancel()
+	if err := s.o.Pool.Take(ctx, size); err != nil {
+		return noMemory(err)
+	}
+	return nil
+}
+
 // noMemory turns away a request whose body can't be held.
 func noMemory(err error) *bad {
 	if errors.Is(err, body.ErrNever) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -115,7 +115,7 @@
 		s.serveLong(out, r, arrived)
 		return
 	}
-	giveBack, bad := s.reserve(r)
+	giveBack, bad := s.reserve(r, arrived)
 	if bad != nil {
 		s.turnAway(out, r, bad)
 		return
