A connection taken and not used is no younger; the deadline told is what is left

Seen by reading what follows the last look: a connection that was taken for a request which nobody wanted any more was given back as one just used. Its endpoint counts from the last request, and closes it when that is as long ago as the settings say: a later request could be written into the close, and end as a reset that may have run (0.9 of the limit is kept from that). It also stood at the young end of the idle ones, out of order. At fault: Client.giveBack. And the head of a request said how long this sidecar waits as counted before its connection was dialled, so by as much too much as the dial took (0.2 s and more): endpoints that drop what is over would have begun it. At fault: Attempt, which made the text before take.

TestAConnectionThatWasNotUsedIsNoYounger and TestTheDeadlineToldIsWhatIsLeftWhenTheConnectionIsUp fail without (one connection where two are wanted; 9,999 ms told of 10 s of which 50 ms had gone).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -374,16 +374,23 @@
 	return true
 }
 
-// giveBack keeps a connection for the next attempt, if the endpoint is still where it leads.
-func (u *Client) giveBack(c *conn) {
+// giveBack keeps a connection for the next attempt, if the endpoint is still where it leads. One that was taken and not used goes on
+// being as old as it was: so the endpoint counts.
+func (u *Client) giveBack(c *conn, used bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !c.pool.keep || c.pool.addr != c.addr {
 		u.closeLocked(c)
 		return
 	}
-	c.idleAt = time.Now()
-	c.pool.idle = append(c.pool.idle, c)
+	if used || c.idleAt.IsZero() {
+		c.idleAt = time.Now()
+	}
+	i := len(c.pool.idle)
+	for i > 0 && c.pool.idle[i-1].idleAt.After(c.idleAt) {
+		i--
+	}
+	c.pool.idle = slices.Insert(c.pool.idle, i, c)
 }
 
 // Attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
@@ -392,6 +399,9 @@
 func (u *Client) Attempt(ctx context.Context, id string, m *Message, w Watch) (r balance.Result, reused bool, a Answer) {
 	text := m.bytes(ctx) // before the connection is looked at for the last time
 	c, err := u.take(ctx, id)
+	if err == nil && c.idleAt.IsZero() { // its coming up has taken time, and nothing can have come on it: the head must not promise more than is left
+		text = m.bytes(ctx)
+	}
 	switch {
 	case err != nil:
 	case !u.takes(id, c): // told so while it came up, or rested
@@ -401,7 +411,7 @@
 		u.discard(c)
 		err = errLate
 	case w.Wanted != nil && !w.Wanted():
-		u.giveBack(c)
+		u.giveBack(c, false)
 		err = errUnwanted
 	}
 	if err != nil {
@@ -411,7 +421,7 @@
 	x := &exchange{u: u, c: c, m: m, watch: w, stop: context.AfterFunc(ctx, func() { c.Close() })}
 	r, a, reusable := x.run(ctx, text)
 	if reusable && (x.bound.Load() || x.stop()) {
-		u.giveBack(c)
+		u.giveBack(c, true)
 	} else {
 		u.discard(c)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -310,6 +311,55 @@
 	}
 }
 
+// What a request says of its time counts from when it goes out, and not from when its connection was asked for.
+func TestTheDeadlineToldIsWhatIsLeftWhenTheConnectionIsUp(t *testing.T) {
+	const limit, dial = 10 * time.Second, 50 * time.Millisecond
+	told := make(chan string, 1)
+	e := testpeer.NewEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		told <- r.Header.Get("Req-Deadline-Ms")
+		io.WriteString(nc, testpeer.Served)
+		return true
+	})
+	began := time.Now()
+	u := New(Options{Idle: time.Minute, Dial: testpeer.Patience, Most: 1, OnlyOK: true, Connect: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		testpeer.Until(t, "the dial has lasted", func() bool { return time.Since(began) > dial })
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}})
+	u.SetMember("a", e.Addr, true)
+	t.Cleanup(func() { u.sweep(func(*conn) bool { return false }) })
+	m := get("/c")
+	m.DeadlineName = "Req-Deadline-Ms"
+	if r, _, _ := u.Attempt(ctxFor(t, limit), "a", m, Watch{}); r != balance.OK {
+		t.Fatal(r)
+	}
+	if ms, err := strconv.Atoi(<-told); err != nil || time.Duration(ms)*time.Millisecond > limit-dial+time.Millisecond {
+		t.Errorf("%d ms, %v: %v of %v had gone", ms, err, dial, limit)
+	}
+}
+
+// A connection that was taken for a request which nobody wanted any more is no younger for it: its endpoint closes it all the same,
+// perhaps under the next request.
+func TestAConnectionThatWasNotUsedIsNoYounger(t *testing.T) {
+	e := testpeer.NewEndpoint(t, testpeer.Says(testpeer.Served, true))
+	u := testUpstream(t, e.Addr)
+	u.idleFor = 200 * time.Millisecond
+	attempt := func(wanted bool, want balance.Result) {
+		t.Helper()
+		if r, _, _ := u.Attempt(ctxFor(t, testpeer.Patience), "a", get("/c"), Watch{Wanted: func() bool { return wanted }}); r != want {
+			t.Fatalf("%v, want %v", r, want)
+		}
+	}
+	attempt(true, balance.OK)
+	answered := time.Now()
+	testpeer.Until(t, "half of the time is over", func() bool { return time.Since(answered) > u.idleFor/2 })
+	attempt(false, balance.NotSent)
+	testpeer.Until(t, "all of it is", func() bool { return time.Since(answered) > u.idleFor })
+	attempt(true, balance.OK)
+	if n := e.Connections.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
 func TestOnlyAConnectionThatStandsIsIdle(t *testing.T) {
 	release := make(chan bool)
 	e := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
