--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -345,6 +345,37 @@
 	})
 }
 
+// Of a sender who has ended what is left is read to its end, but not asked for: one that waits for a word has sent nothing.
+func TestWhatIsLeftOfABodyIsReadAndNotAskedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		end     error
+		expects bool
+		parts   int
+		want    error
+		left    int // parts that nobody read
+	}{
+		"whole":                  {end: io.EOF, parts: 5},
+		"without its end":        {end: io.ErrUnexpectedEOF, parts: 5, want: ErrBroken},
+		"waits for a word":       {end: io.EOF, expects: true, parts: 1, want: ErrBroken, left: 1},
+		"too long":               {end: io.EOF, parts: 40, want: ErrTooLong, left: 7},
+		"broken before its half": {end: io.ErrUnexpectedEOF, want: ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{end: c.end}
+			for range c.parts {
+				s.parts = append(s.parts, make([]byte, Held))
+			}
+			from := s.source(-1)
+			from.Expects = c.expects
+			u := upload(t, NewPool(2*Window), from)
+			if err := u.Exhaust(); !errors.Is(err, c.want) || !errors.Is(u.Err(), c.want) || u.Whole() != (c.want == nil) || len(s.parts) != c.left {
+				t.Errorf("%v, whole %v, %d parts left", err, u.Whole(), len(s.parts))
+			}
+			u.Close(0, 0)
+		})
+	}
+}
+
 // A flow that nobody wants to hear more of waits neither for the caller nor for ever.
 func TestCloseDrainsWithinItsBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
