A request's text is made once, when its connection is there

It was made before the connection was asked for, and for a dialled one once more. take makes it now: after a rest and before the last look at a connection that is used again, after the dial of a new one. What it says of the time left is as late as it can be on both. Test of it on the common harness.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -285,17 +285,20 @@
 	return false
 }
 
-// take returns an idle connection to the endpoint, or else dials one. Nothing in an answer shows which request it
-// belongs to: whatever comes before ours is written must be seen before, and the connection dropped. A second copy
-// may come a little after the first, so a connection rests for a moment, and is looked at last thing.
-func (u *Client) take(ctx context.Context, id string) (*conn, error) {
+// take returns an idle connection to the endpoint, or else dials one, and the request's text: made last, since it says how much time
+// is left. Nothing in an answer shows which request it belongs to: whatever comes before ours is written must be seen before, and the
+// connection dropped. A second copy may come a little after the first, so a connection rests for a moment, and is looked at last thing.
+func (u *Client) take(ctx context.Context, id string, m *Message) (*conn, []byte, error) {
 	for {
 		p, addr, c, err := u.reserve(id)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if c == nil {
-			return u.dial(ctx, p, addr)
+			if c, err = u.dial(ctx, p, addr); err != nil {
+				return nil, nil, err
+			}
+			return c, m.bytes(ctx), nil
 		}
 		if rest := u.settle - time.Since(c.idleAt); rest > 0 {
 			select {
@@ -303,8 +306,9 @@
 			case <-time.After(rest):
 			}
 		}
+		text := m.bytes(ctx)
 		if u.usable(c) {
-			return c, nil
+			return c, text, nil
 		}
 		u.discard(c)
 	}
@@ -403,11 +407,7 @@
 // Attempt returns: no second attempt can be out beside this one. It tells whether the connection had served before.
 // Once Watch.Begun has taken an answer, ctx rules no more, and Attempt returns when the answer's Stream is closed.
 func (u *Client) Attempt(ctx context.Context, id string, m *Message, w Watch) (r balance.Result, reused bool, a Answer) {
-	text := m.bytes(ctx) // before the connection is looked at for the last time
-	c, err := u.take(ctx, id)
-	if err == nil && c.idleAt.IsZero() { // its coming up has taken time, and nothing can have come on it: the head must not promise more than is left
-		text = m.bytes(ctx)
-	}
+	c, text, err := u.take(ctx, id, m)
 	switch {
 	case err != nil:
 	case !u.takes(id, c): // told so while it came up, or rested
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -321,12 +321,12 @@
 		return true
 	})
 	began := time.Now()
-	u := New(Options{Idle: time.Minute, Dial: testpeer.Patience, Most: 1, OnlyOK: true, Connect: func(ctx context.Context, network, addr string) (net.Conn, error) {
+	u := testUpstream(t, e.Addr)
+	connect := u.o.Connect
+	u.o.Connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		testpeer.Until(t, "the dial has lasted", func() bool { return time.Since(began) > dial })
-		return (&net.Dialer{}).DialContext(ctx, network, addr)
-	}})
-	u.SetMember("a", e.Addr, true)
-	t.Cleanup(func() { u.sweep(func(*conn) bool { return false }) })
+		return connect(ctx, network, addr)
+	}
 	m := get("/c")
 	m.DeadlineName = "Req-Deadline-Ms"
 	if r, _, _ := u.Attempt(ctxFor(t, limit), "a", m, Watch{}); r != balance.OK {
