Review case 2: the answer to a client that has left is written into another request's body

A streaming answer uses the buffer of its request's upload, which the handler gives back when its client leaves, before the cancelled attempt has ended.

--- a/review/oldforeign/main.go
+++ b/review/2/main.go
@@ -1,4 +1,4 @@
-// Case 1: the body of one client's request is overwritten with the response to another client that has left.
+// Case 2: the body of one client's request is overwritten with the response to another client that has left.
 package main
 
 import (
@@ -20,27 +20,26 @@
 )
 
 const (
-	playTime       = 20 * time.Second
-	leaverPeriod   = 300 * time.Millisecond
-	uploaderPeriod = 60 * time.Millisecond
-	leaveAfter     = 150 * time.Millisecond // from the last byte of the request, before the response has begun to reach the client
-	leaverBody     = 100_000
-	uploaderBody   = 90_000
-	answerBytes    = 150_000
+	bursts       = 15
+	leavers      = 60 // clients that leave in each burst
+	uploaders    = 60 // clients that send a request at the time of each burst, and stay
+	leaverBody   = 100_000
+	uploaderBody = 90_000
+	firstPart    = 30_000 // what an uploader sends at first
+	answerBytes  = 150_000
 )
 
 var (
-	record    *kit.Record
-	foreign   atomic.Int64 // requests whose body at the endpoint is not the one that the client sent
-	runs      atomic.Int64
-	served    atomic.Int64
-	refused   atomic.Int64
-	failed    atomic.Int64
-	lost      atomic.Int64
-	wrong     atomic.Int64 // answers 200 with a body that no endpoint made for the request
-	lastID    atomic.Int64
-	uploaders atomic.Int64
-	troubled  = os.Getenv("TROUBLE") != "0"
+	record   *kit.Record
+	foreign  atomic.Int64 // requests whose body at the endpoint is not the one that the client sent
+	runs     atomic.Int64
+	served   atomic.Int64
+	refused  atomic.Int64
+	failed   atomic.Int64
+	lost     atomic.Int64
+	wrong    atomic.Int64 // answers 200 with a body that no endpoint made for the request
+	lastID   atomic.Int64
+	troubled = os.Getenv("TROUBLE") != "0"
 )
 
 // pattern returns a body whose every 16 bytes name the request.
@@ -52,7 +51,7 @@
 func main() {
 	root, folder := os.Args[1], os.Args[2]
 	record = kit.NewRecord(folder)
-	tmp, err := os.MkdirTemp("", "review-1-")
+	tmp, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		kit.CannotRun(err)
 	}
@@ -93,7 +92,6 @@
 }
 
 func configuration(listen, agent, tmp string, members []kit.Member) string {
-	mayCancel := os.Getenv("MAY_CANCEL") == "1"
 	settings := map[string]any{
 		"Tier": 0, "Tiers": []string{"front-desk"}, "NInstances": 1, "Me": 0, "Zone": "caboolture-depot", "Zones": []string{"caboolture-depot"},
 		"Discovery": "automatic", "ResolutionUs": 5000, "Kinds": []string{"front-std"},
@@ -101,7 +99,7 @@
 			{"Name": "item-lookup", "Semantics": "read_like", "Group": "all", "OnTimeUs": 2000000, "HardLimitUs": 5000000, "WindowUs": 5000000, "Credit": 5.0},
 			{"Name": "bag-dispatch", "Semantics": "idempotency_key", "Group": "cell", "OnTimeUs": 2500000, "HardLimitUs": 6000000, "WindowUs": 10000000, "Credit": 3.0},
 		},
-		"Permissions": map[string]any{"MayCancel": mayCancel, "MayProbe": false, "RetryAfter": true, "TryLimit": 4, "MaxRetryAfterUs": 2000000,
+		"Permissions": map[string]any{"MayCancel": true, "MayProbe": false, "RetryAfter": true, "TryLimit": 4, "MaxRetryAfterUs": 2000000,
 			"ConnIdleUs": 30000000, "DialTimeoutUs": 200000, "MaxOpen": 20000, "StreamsPerConn": 1, "SecondCopies": false, "Peers": false},
 		"Report": map[string]any{"Fields": []string{}, "How": "silent"},
 		"Rules":  map[string]any{"AnswerSlackUs": 20000, "AskWithinUs": 10000000, "ColdFrom": 0.31, "ColdUs": 9000000, "DrainGraceUs": 500000, "FallMultiple": 4.0, "TipAfterUs": 3000000},
@@ -141,11 +139,11 @@
 	answer := pattern("answer "+id, answerBytes)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	flusher := w.(http.Flusher)
-	// Small pieces: 1 KiB every 10 ms for the first second, then the rest.
+	// Small pieces: 100 bytes every 2 ms for 2 s, then the rest.
 	time.Sleep(50 * time.Millisecond)
 	for i := 0; len(answer) > 0; i++ {
-		n := min(1024, len(answer))
-		if i > 100 {
+		n := min(100, len(answer))
+		if i > 1000 {
 			n = len(answer)
 		}
 		if _, err := w.Write(answer[:n]); err != nil {
@@ -153,24 +151,29 @@
 		}
 		flusher.Flush()
 		answer = answer[n:]
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 	}
 }
 
+// play lets some clients send requests that get long answers, and closes their connections before the answers have begun to reach
+// them. At that time other clients send requests, and stay.
 func play(listen string) {
-	var clients sync.WaitGroup
-	end := time.Now().Add(playTime)
-	every := func(period time.Duration, client func(string)) {
-		clients.Go(func() {
-			for time.Now().Before(end) {
-				clients.Go(func() { client(listen) })
-				time.Sleep(period)
-			}
-		})
-	}
-	every(leaverPeriod, leaver)
-	every(uploaderPeriod, uploader)
-	clients.Wait()
+	for range bursts {
+		var clients sync.WaitGroup
+		leave, start := make(chan struct{}), make(chan struct{})
+		for range leavers {
+			clients.Go(func() { leaver(listen, leave) })
+		}
+		time.Sleep(430 * time.Millisecond)
+		for range uploaders {
+			clients.Go(func() { uploader(listen, start) })
+		}
+		time.Sleep(60 * time.Millisecond)
+		record.Line("the clients leave, and others send")
+		close(start)
+		close(leave)
+		clients.Wait()
+	}
 }
 
 func head(id, path string, length int) []byte {
@@ -179,7 +182,7 @@
 }
 
 // leaver sends a request with a long body. With the trouble it closes its connection before the answer has come.
-func leaver(listen string) {
+func leaver(listen string, leave chan struct{}) {
 	id := fmt.Sprintf("L%06d", lastID.Add(1))
 	nc, err := net.Dial("tcp", listen)
 	if err != nil {
@@ -190,38 +193,27 @@
 		return
 	}
 	if troubled {
-		time.Sleep(leaveAfter)
-		record.Line("client: %s leaves", id)
+		<-leave
 		return
 	}
 	readAnswer(nc, id, answerBytes)
 }
 
-// uploader sends a request with a long body at about 200 kB a second, and stays. Every second one gets a long answer.
-func uploader(listen string) {
-	n := lastID.Add(1)
-	id, path, length := fmt.Sprintf("U%06d", n), "/bag-dispatch/short", 400
-	if uploaders.Add(1)%2 == 0 {
-		path, length = "/bag-dispatch/long", answerBytes
-	}
+// uploader opens a connection, sends a request in two parts when it is told to, and stays.
+func uploader(listen string, start chan struct{}) {
+	id := fmt.Sprintf("U%06d", lastID.Add(1))
 	nc, err := net.Dial("tcp", listen)
 	if err != nil {
 		return
 	}
 	defer nc.Close()
 	body := pattern(id, uploaderBody)
-	if _, err := nc.Write(head(id, path, uploaderBody)); err != nil {
-		return
-	}
-	for len(body) > 0 {
-		n := min(10_000, len(body))
-		if _, err := nc.Write(body[:n]); err != nil {
-			break
-		}
-		body = body[n:]
-		time.Sleep(50 * time.Millisecond)
+	<-start
+	if _, err := nc.Write(append(head(id, "/bag-dispatch/short", uploaderBody), body[:firstPart]...)); err == nil {
+		time.Sleep(100 * time.Millisecond)
+		_, _ = nc.Write(body[firstPart:])
 	}
-	readAnswer(nc, id, length)
+	readAnswer(nc, id, 400)
 }
 
 func readAnswer(nc net.Conn, id string, length int) {
