--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-for dir in */main.go; do
-	name=${dir%/main.go}
-	GOFLAGS=-mod=mod GOWORK=off go build -o "bin/case$name" "./$name"
+for dir in [0-9]*/; do
+	GOFLAGS=-mod=mod GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -o "bin/case${dir%/}" "./$dir"
 done
