Body: record the failure of a body once, also if its client leaves during a retry

Cause: with Expect: 100-continue, a failed attempt's sender can still be in a read of the client's body when the client leaves and the handler calls Upload.ReadToEnd. ReadToEnd recorded the failure of the body beside that read, which then recorded its own: both closed Upload.failed.

Change: ReadToEnd waits for the read in progress, whose result decides; Upload.fail alone closes the channel, once.

Test: TestReadToEndDuringReadOfClosedReaderFailsBodyOnce panicked before the fix; internal/body passes with -race after it.

--- a/internal/body/upload_receive.go
+++ b/internal/body/upload_receive.go
@@ -23,11 +23,13 @@
 
 // ReadToEnd reads to the body's end and discards the bytes. It is meant for a client that has closed its side of the connection,
 // so that no read has to wait. The error says why the end could not be read. If the client waits for 100 Continue and has
-// sent nothing, ReadToEnd reads nothing and returns ErrBroken, since a read would make net/http send 100 Continue.
+// sent nothing, ReadToEnd reads nothing and returns ErrBroken, since a read would make net/http send 100 Continue. A read that
+// is in progress has already done so, and decides whether the body has failed.
 func (u *Upload) ReadToEnd() error {
 	u.mu.Lock()
+	u.waitForRead()
 	if u.ExpectsContinue && u.receivedBytes == 0 && u.checkReadable() == nil {
-		u.updateAfterRead(io.ErrUnexpectedEOF)
+		u.fail(fmt.Errorf("%w: %w", ErrBroken, io.ErrUnexpectedEOF))
 	}
 	u.mu.Unlock()
 	for {
@@ -133,17 +135,22 @@
 func (u *Upload) updateAfterRead(err error) {
 	switch {
 	case u.receivedBytes > u.MaxBytes:
-		u.err = ErrTooLong
+		u.fail(ErrTooLong)
 	case errors.Is(err, io.EOF):
 		u.isComplete = true
 		_ = u.SetReadDeadline(time.Time{}) // fails only on a closed connection
-		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		u.err = fmt.Errorf("%w: the body does not arrive", ErrTooSlow)
+		u.fail(fmt.Errorf("%w: the body does not arrive", ErrTooSlow))
 	case err != nil:
-		u.err = fmt.Errorf("%w: %w", ErrBroken, err)
+		u.fail(fmt.Errorf("%w: %w", ErrBroken, err))
 	}
+}
+
+// fail records why the body could not be read, and closes the channel of Failed. Only the first call has an effect. u.mu is held.
+func (u *Upload) fail(err error) {
 	if u.err != nil {
-		close(u.failed)
+		return
 	}
+	u.err = err
+	close(u.failed)
 }
--- a/internal/body/upload_test.go
+++ b/internal/body/upload_test.go
@@ -259,6 +259,53 @@
 	}
 }
 
+// A client that waits for 100 Continue may disconnect while a closed reader still reads its body. ReadToEnd must not record the
+// failure of the body beside that read: the second of two failures would close the channel of Failed again and end the process.
+func TestReadToEndDuringReadOfClosedReaderFailsBodyOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		endErr error // error with which the client's connection ends the body
+		want   error // error that ReadToEnd should return
+	}{
+		"broken":   {endErr: io.ErrUnexpectedEOF, want: ErrBroken},
+		"complete": {endErr: io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedBody{parts: [][]byte{{1}}, endErr: c.endErr, arrivals: make(chan struct{}, 1)}
+				if c.want != nil {
+					s.parts[0] = nil // the connection ends before the body's first byte
+				}
+				source := s.source()
+				source.ExpectsContinue = true
+				u := newTestUpload(t, NewMemoryPool(2*BufferSize), source)
+				r, _ := u.NewReader()
+				go func() { _, _ = readAll(r) }()
+				synctest.Wait()
+				r.Close()
+				result := make(chan error, 1)
+				go func() { result <- u.ReadToEnd() }()
+				synctest.Wait()
+				s.arrivals <- struct{}{}
+				if err := <-result; !errors.Is(err, c.want) || !errors.Is(u.Err(), c.want) {
+					t.Errorf("ReadToEnd returned %v, Err %v, want %v", err, u.Err(), c.want)
+				}
+				synctest.Wait()
+				select {
+				case <-u.Failed():
+					if c.want == nil {
+						t.Error("the channel of Failed is closed, though the body is complete")
+					}
+				default:
+					if c.want != nil {
+						t.Error("the channel of Failed is not closed")
+					}
+				}
+				u.Close(0, 0)
+			})
+		})
+	}
+}
+
 // Close must not wait for a body that never ends: it stops draining at its time limit or its byte limit.
 func TestCloseDrainsWithinTimeAndByteLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
