Body: count the users of a buffer, so that it goes to no other body while one is left

Cause: the handler of a client gave the buffer of its upload back when it ended, while the attempt could still read a response into it (TakeBuffer) and the sender could still write the body from it. A client that leaves ends its handler before its attempt.

Change: body.Buffer is a counted reference; the upload, its reader and the response hold one each, and the last one that is released gives the buffer back. A closed upload gives out none. Close discards the rest of a body into memory of its own.

--- a/internal/body/memory_pool.go
+++ b/internal/body/memory_pool.go
@@ -94,17 +94,17 @@
 	return bytes, p.budget.Waiting()
 }
 
-// AcquireBuffer acquires a buffer of BufferSize bytes. It waits and fails as Acquire does. The buffer must be released with
-// ReleaseBuffer exactly once, when it is not used any more.
-func (p *MemoryPool) AcquireBuffer(ctx context.Context) (*[]byte, error) {
+// AcquireBuffer acquires a buffer of BufferSize bytes. It waits and fails as Acquire does. The returned reference, and each that
+// Buffer.Retain derives from it, must be released when its holder does not use the bytes any more.
+func (p *MemoryPool) AcquireBuffer(ctx context.Context) (*Buffer, error) {
 	if err := p.Acquire(ctx, bufferRequest); err != nil {
 		return nil, err
 	}
-	return p.buffers.Get().(*[]byte), nil
+	return newBuffer(p, p.buffers.Get().(*[]byte)), nil
 }
 
-// ReleaseBuffer releases a buffer that AcquireBuffer returned.
-func (p *MemoryPool) ReleaseBuffer(b *[]byte) {
-	p.buffers.Put(b)
+// putBuffer takes back the bytes of a buffer to which no reference is left.
+func (p *MemoryPool) putBuffer(bytes *[]byte) {
+	p.buffers.Put(bytes)
 	p.Release(bufferRequest)
 }
--- a/internal/body/memory_pool_test.go
+++ b/internal/body/memory_pool_test.go
@@ -38,7 +38,7 @@
 			defer cancel()
 			if b, err := p.AcquireBuffer(ctx); err == nil {
 				time.Sleep(time.Millisecond)
-				p.ReleaseBuffer(b)
+				b.Release()
 			}
 		})
 	}
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -6,7 +6,9 @@
 // All bodies of a process share one MemoryPool, which its own mutex guards. An Upload belongs to the request whose body it
 // reads, and each of its UploadReaders to one attempt of that request; attempts follow each other. The package starts no
 // goroutines: all reads, writes and waits run on the goroutines of its callers, and each ends with a context, a deadline, Stop
-// or Close. Acquired memory is released exactly once by whoever acquired it; Close releases that of an Upload.
+// or Close. Acquired memory is released exactly once by whoever acquired it. A buffer may have several users, each with a
+// reference of its own (see Buffer): an Upload, the UploadReader whose parts an attempt writes, and the response that is read into
+// the buffer of its request.
 package body
 
 import (
@@ -53,8 +55,7 @@
 // concurrent use, but only one UploadReader may be open at a time.
 type Upload struct {
 	Source
-	pool   *MemoryPool
-	buffer *[]byte       // BufferSize bytes that hold the body's first PrefixSize bytes, and each later part of the body until the next read
+	buffer *Buffer       // BufferSize bytes that hold the body's first PrefixSize bytes, and each later part of the body until the next read
 	meter  Meter         // checks that the client keeps its MinimumRate
 	failed chan struct{} // closed when the body could not be read
 
@@ -67,6 +68,7 @@
 	isComplete    bool      // the body's end has arrived
 	isConsumed    bool      // the body can't be sent again: bytes beyond the first PrefixSize were returned, or TakeBuffer was called
 	isStopped     bool      // no more reads of Source.Body may start
+	isClosed      bool      // Close was called: the buffer may be released, and gets no more users
 	err           error     // why a read of the body failed; nil: none has failed
 }
 
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upload{Source: s, pool: pool, buffer: buffer, meter: NewMeter(s.MinimumRate), failed: make(chan struct{})}
+	u := &Upload{Source: s, buffer: buffer, meter: NewMeter(s.MinimumRate), failed: make(chan struct{})}
 	u.readEnded.L = &u.mu
 	return u, nil
 }
@@ -87,7 +89,7 @@
 func (u *Upload) Prefix() []byte {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return (*u.buffer)[:u.prefixLen]
+	return u.buffer.Bytes()[:u.prefixLen]
 }
 
 // IsConsumed reports whether the body can't be sent again, because an UploadReader has returned bytes beyond its first
@@ -141,25 +143,25 @@
 	}
 }
 
-// TakeBuffer lets the caller use the Upload's buffer until Close, and returns it. The body can't be sent again or read further
-// after that. If a read is in progress, or a part that was read has not been returned yet, TakeBuffer does nothing and returns
-// nil.
-func (u *Upload) TakeBuffer() []byte {
+// TakeBuffer lets the caller use the Upload's buffer, and returns a reference that the caller must release. The body can't be sent
+// again or read further after that. If a read is in progress, a part that was read has not been returned yet, or the Upload is
+// closed, TakeBuffer does nothing and returns nil.
+func (u *Upload) TakeBuffer() *Buffer {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.isReading || u.pendingPart != nil {
+	if u.isReading || u.pendingPart != nil || u.isClosed {
 		return nil
 	}
 	u.isConsumed, u.isStopped = true, true
-	return *u.buffer
+	return u.buffer.Retain()
 }
 
-// Close ends the Upload, and releases its buffer when no read is in progress. It first reads and discards the rest of the body,
-// for at most the time linger and up to about maxBytes bytes, so that the client can read its response before the connection
-// is reset (RFC 9112, 9.6).
+// Close ends the Upload, and releases its reference to the buffer when no read is in progress. It first reads and discards the rest
+// of the body, for at most the time linger and up to about maxBytes bytes, so that the client can read its response before the
+// connection is reset (RFC 9112, 9.6).
 func (u *Upload) Close(linger time.Duration, maxBytes int64) {
 	u.mu.Lock()
-	u.isStopped = true
+	u.isStopped, u.isClosed = true, true
 	if !u.isComplete && u.err == nil {
 		_ = u.SetReadDeadline(time.Now().Add(linger)) // fails only on a closed connection
 	}
@@ -170,14 +172,19 @@
 	if mustDrain {
 		u.drain(linger, maxBytes)
 	}
-	u.pool.ReleaseBuffer(u.buffer)
+	u.buffer.Release()
 }
 
-// drain reads and discards the rest of the body. It stops after the time linger, or after about maxBytes bytes.
+// drainReadBytes is the maximum number of bytes that drain reads at once.
+const drainReadBytes = 8 << 10
+
+// drain reads and discards the rest of the body. It stops after the time linger, or after about maxBytes bytes. It doesn't read
+// into the Upload's buffer, which an attempt may still be using.
 func (u *Upload) drain(linger time.Duration, maxBytes int64) {
+	discarded := make([]byte, drainReadBytes)
 	deadline := time.Now().Add(linger)
 	for remainingBytes := maxBytes; remainingBytes > 0 && time.Now().Before(deadline); {
-		n, err := u.Body.Read(*u.buffer)
+		n, err := u.Body.Read(discarded)
 		remainingBytes -= int64(n)
 		if err != nil {
 			return
--- a/internal/body/upload_receive.go
+++ b/internal/body/upload_receive.go
@@ -55,7 +55,7 @@
 		return nil, errReaderClosed
 	}
 	if r != nil && r.offset < u.prefixLen {
-		part := (*u.buffer)[r.offset:u.prefixLen]
+		part := u.buffer.Bytes()[r.offset:u.prefixLen]
 		r.offset = u.prefixLen
 		return part, nil
 	}
@@ -66,13 +66,14 @@
 	if err := u.checkReadable(); err != nil {
 		return nil, err
 	}
-	to := (*u.buffer)[u.prefixLen:PrefixSize]
+	buffer := u.buffer.Bytes()
+	to := buffer[u.prefixLen:PrefixSize]
 	isBeyondPrefix := len(to) == 0
 	switch {
 	case u.isConsumed: // the body can't be sent again, so its first bytes in the buffer may be overwritten
-		to = *u.buffer
+		to = buffer
 	case isBeyondPrefix:
-		to = (*u.buffer)[PrefixSize:]
+		to = buffer[PrefixSize:]
 	}
 	n, err := u.readInto(to)
 	if u.receivedBytes += int64(n); !isBeyondPrefix {
--- a/internal/body/upload_test.go
+++ b/internal/body/upload_test.go
@@ -105,6 +105,7 @@
 					t.Errorf("attempt %d: read %d bytes, error %v, want the %d bytes of the body", attempt, len(got), err, len(text))
 				}
 				r.Close()
+				r.Release()
 			}
 			if u.Close(time.Second, 1<<20); u.IsConsumed() == row.isResendable {
 				t.Errorf("IsConsumed is %v, want %v", u.IsConsumed(), !row.isResendable)
@@ -184,6 +185,7 @@
 				if _, err := readAll(r); !errors.Is(err, row.want) || !errors.Is(u.Err(), row.want) {
 					t.Errorf("error of the read %v, of Err %v, want %v", err, u.Err(), row.want)
 				}
+				r.Release()
 				select {
 				case <-u.Failed():
 				default:
--- a/internal/upstream/request_body.go
+++ b/internal/upstream/request_body.go
@@ -117,6 +117,7 @@
 // most for expectContinueTimeout.
 func (s *bodySender) run(head []byte) {
 	defer close(s.done)
+	defer s.reader.Release()
 	if s.write(false, head) != nil {
 		return
 	}
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -60,15 +60,15 @@
 // this time, the request can still be retried, and if the body ends, the response is returned as a buffered one. Server-sent events
 // are not held back.
 func (x *exchange) streamResponse(ctx context.Context, resp *http.Response) outcome {
-	buffer, release, err := x.acquireBuffer(ctx)
+	buffer, err := x.acquireBuffer(ctx)
 	if err != nil {
 		return outcome{result: balance.Canceled} // balance.Canceled does not count against the endpoint
 	}
-	defer release()
+	defer buffer.Release()
 	x.conn.byteLimit.N = math.MaxInt64 // Stream.maxBytes limits a streaming body instead
 	// resp.Body must not be closed: its Close method would read to the body's end without counting the bytes that Splice has taken
 	// from the connection. It would then wait for bytes that never come.
-	s := x.newStream(resp, buffer)
+	s := x.newStream(resp, buffer.Bytes())
 	handedOver := make(chan bool, 1)
 	handOver := func() {
 		if s.isClaimed.CompareAndSwap(false, true) {
@@ -123,19 +123,15 @@
 	return outcome{result: balance.Reset}
 }
 
-// acquireBuffer returns the buffer for a response, and a function that releases it. If the request's upload no longer needs its
+// acquireBuffer returns the buffer for a response, which the caller must release. If the request's upload no longer needs its
 // buffer, the response gets that buffer, so that an exchange which already has a buffer does not wait for a second one.
-func (x *exchange) acquireBuffer(ctx context.Context) (buffer []byte, release func(), err error) {
+func (x *exchange) acquireBuffer(ctx context.Context) (*body.Buffer, error) {
 	if upload := x.request.Upload; upload != nil {
-		if buffer = upload.TakeBuffer(); buffer != nil {
-			return buffer, func() {}, nil
+		if buffer := upload.TakeBuffer(); buffer != nil {
+			return buffer, nil
 		}
 	}
-	b, err := x.client.options.BodyMemory.AcquireBuffer(ctx)
-	if err != nil {
-		return nil, nil, err
-	}
-	return *b, func() { x.client.options.BodyMemory.ReleaseBuffer(b) }, nil
+	return x.client.options.BodyMemory.AcquireBuffer(ctx)
 }
 
 // prefetch reads until the buffer is full, the body has ended or broken, or the stream is handed over.
--- /dev/null
+++ b/internal/upstream/response_stream_test.go
@@ -0,0 +1,104 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tuliprock/internal/body"
+)
+
+// testIdleTimeout is how long an endpoint of these tests may be silent within a body.
+const testIdleTimeout = time.Minute
+
+// pipeExchange is an exchange over an in-memory connection, so that a test can run in a synctest bubble.
+type pipeExchange struct {
+	*exchange
+	pool     *body.MemoryPool // has memory for one streaming body
+	endpoint net.Conn         // the endpoint's end of the connection
+}
+
+func newPipeExchange(t *testing.T) *pipeExchange {
+	t.Helper()
+	ours, endpoint := net.Pipe()
+	limitedReader := &io.LimitedReader{R: ours}
+	pool := body.NewMemoryPool(2 * body.BufferSize)
+	return &pipeExchange{
+		exchange: &exchange{
+			client:        New(Options{BodyMemory: pool, MinimumRate: body.MinimumRate{IdleTimeout: testIdleTimeout}}),
+			conn:          &conn{Conn: ours, byteLimit: limitedReader, reader: bufio.NewReaderSize(limitedReader, maxHeadBytes)},
+			request:       &Request{Method: http.MethodPost, Target: "/c", Host: "h", Header: http.Header{}},
+			detachContext: func() bool { return true },
+		},
+		pool:     pool,
+		endpoint: endpoint,
+	}
+}
+
+// newTestUpload returns an Upload of a body in memory. The error is that of the pool if its memory is not free.
+func newTestUpload(t *testing.T, pool *body.MemoryPool, text []byte) (*body.Upload, error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return body.NewUpload(ctx, pool, body.Source{
+		Body:            bytes.NewReader(text),
+		SetReadDeadline: func(time.Time) error { return nil },
+		Size:            int64(len(text)),
+		MaxBytes:        1 << 20,
+		MinimumRate:     body.MinimumRate{IdleTimeout: testIdleTimeout},
+	})
+}
+
+// A response is read into the buffer of its request's upload. If the client leaves, its handler closes the upload while the attempt
+// still reads the response. The buffer must not go to another request then, whose body would get a part of that response.
+func TestResponseIsNotReadIntoBodyOfAnotherRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newPipeExchange(t)
+		upload, err := newTestUpload(t, x.pool, make([]byte, 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.request.Upload = upload
+		x.hooks.ResponseStarted = func(Response) bool { return false }
+		attemptEnded := make(chan struct{})
+		go func() {
+			defer close(attemptEnded)
+			x.run(t.Context(), x.request.encode(t.Context()))
+		}()
+		received, err := http.ReadRequest(bufio.NewReader(x.endpoint))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, received.Body)
+		_, _ = io.WriteString(x.endpoint, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		synctest.Wait() // the attempt reads the response's body
+		upload.Close(0, 0)
+
+		text := bytes.Repeat([]byte{'b'}, 1000)
+		other, otherErr := newTestUpload(t, x.pool, text)
+		if otherErr == nil {
+			_, _ = other.ReadPrefix()
+		}
+		_, _ = io.WriteString(x.endpoint, "5\r\nreply\r\n0\r\n\r\n")
+		<-attemptEnded
+		if otherErr != nil { // the memory is free once the attempt has ended
+			if other, err = newTestUpload(t, x.pool, text); err != nil {
+				t.Fatalf("no buffer after the end of the attempt: %v", err)
+			}
+			_, _ = other.ReadPrefix()
+		}
+		if !bytes.Equal(other.Prefix(), text) {
+			t.Errorf("the body of another request begins with %q, want %q", other.Prefix()[:5], text[:5])
+		}
+		other.Close(0, 0)
+		if inUse, _ := x.pool.InUse(); inUse != 0 {
+			t.Errorf("%d bytes of the pool are in use, want 0", inUse)
+		}
+	})
+}
