Upstream: end the read of a response when its stream is closed early

What callers saw: nothing directly; connection, memory and the balancer's count stayed in use for up to the endpoint's idle timeout.

Cause: Stream.Close left its argument for the attempt, which looked at it only after the read that prefetch had in progress.

Change: Close with an error closes the endpoint's connection, which is never reused then, so that the read ends.

--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -211,7 +211,12 @@
 
 // Close ends the stream. err is nil if the body was forwarded completely, and otherwise the reason why not. Close must be called
 // exactly once, by the goroutine that reads.
-func (s *Stream) Close(err error) { s.closeErr <- err }
+func (s *Stream) Close(err error) {
+	if err != nil {
+		s.conn.Close() // ends the read that prefetch may have in progress on the attempt's goroutine
+	}
+	s.closeErr <- err
+}
 
 // Abort closes the connection to the endpoint, which makes Next fail.
 func (s *Stream) Abort() { s.conn.Close() }
--- a/internal/upstream/response_stream_test.go
+++ b/internal/upstream/response_stream_test.go
@@ -102,3 +102,41 @@
 		}
 	})
 }
+
+// startStreaming lets the endpoint begin a streaming response and then fall silent. It returns the stream once it is handed over, and
+// a channel that is closed when the exchange has ended.
+func (x *pipeExchange) startStreaming(t *testing.T) (stream *Stream, ended <-chan struct{}) {
+	t.Helper()
+	started, exchangeEnded := make(chan *Stream, 1), make(chan struct{})
+	x.hooks.ResponseStarted = func(response Response) bool {
+		started <- response.Stream
+		return true
+	}
+	go func() {
+		defer close(exchangeEnded)
+		x.run(t.Context(), x.request.encode(t.Context()))
+	}()
+	if _, err := http.ReadRequest(bufio.NewReader(x.endpoint)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(x.endpoint, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nreply\r\n")
+	return <-started, exchangeEnded
+}
+
+// A client may leave right after a response was handed over, while the attempt still waits for more of the response. The attempt
+// must not go on waiting for the endpoint, since it holds a connection and memory.
+func TestAttemptEndsWhenItsStreamIsClosedDuringRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newPipeExchange(t)
+		stream, ended := x.startStreaming(t)
+		closedAt := time.Now()
+		stream.Close(ErrClientGone)
+		<-ended
+		if waited := time.Since(closedAt); waited > 0 {
+			t.Errorf("the attempt went on for %v after its stream was closed, want it to end at once", waited)
+		}
+		if inUse, _ := x.pool.InUse(); inUse != 0 {
+			t.Errorf("%d bytes of the pool are in use, want 0", inUse)
+		}
+	})
+}
