Upstream: an abort that comes after a stream's end closes no other request's connection

What callers saw: possible resets that no endpoint had made.

Cause: the timer and contexts that abort a stream run Abort on a goroutine of their own, and withdrawing them does not wait for one that has begun. Abort then closed the connection, which could carry another attempt already.

Change: Abort does nothing once the stream is closed, under a mutex of its own.

--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -32,6 +32,9 @@
 	closeErr  chan error  // receives the argument of the only call of Close
 	isClaimed atomic.Bool // whether it is settled that the stream is handed over to AttemptHooks.ResponseStarted, or that its body has ended or broken before
 
+	abortMu  sync.Mutex // guards isClosed, since mu may be held for as long as Splice writes to the client
+	isClosed bool       // whether Close was called
+
 	mu            sync.Mutex
 	readEnded     sync.Cond // signaled when a read from the endpoint has ended
 	buffer        []byte
@@ -212,11 +215,21 @@
 // Close ends the stream. err is nil if the body was forwarded completely, and otherwise the reason why not. Close must be called
 // exactly once, by the goroutine that reads.
 func (s *Stream) Close(err error) {
+	s.abortMu.Lock()
+	s.isClosed = true
+	s.abortMu.Unlock()
 	if err != nil {
 		s.conn.Close() // ends the read that prefetch may have in progress on the attempt's goroutine
 	}
 	s.closeErr <- err
 }
 
-// Abort closes the connection to the endpoint, which makes Next fail.
-func (s *Stream) Abort() { s.conn.Close() }
+// Abort closes the connection to the endpoint, which makes Next fail. It does nothing once the stream is closed: the connection may
+// carry another attempt then.
+func (s *Stream) Abort() {
+	s.abortMu.Lock()
+	defer s.abortMu.Unlock()
+	if !s.isClosed {
+		s.conn.Close()
+	}
+}
--- a/internal/upstream/response_stream_test.go
+++ b/internal/upstream/response_stream_test.go
@@ -140,3 +140,22 @@
 		}
 	})
 }
+
+// The timer or context that aborts a stream may fire just before the stream is closed, and abort it after the connection has gone
+// to another request. That request must not lose its connection.
+func TestAbortAfterCloseKeepsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newPipeExchange(t)
+		stream, ended := x.startStreaming(t)
+		_, _ = io.WriteString(x.endpoint, "0\r\n\r\n")
+		if text, err := readStream(stream); err != nil || string(text) != "reply" {
+			t.Errorf("read %q, error %v, want %q", text, err, "reply")
+		}
+		stream.Close(nil)
+		<-ended
+		stream.Abort()
+		if err := x.conn.SetReadDeadline(time.Time{}); err != nil { // fails on a closed connection
+			t.Errorf("after Abort: %v, want the connection to be open", err)
+		}
+	})
+}
