Event loop: a stream that became the reply stays so when the loop ends at once

What callers saw: when a pool ended, possibly a broken response, or bytes of another one: the attempt released the response's buffer while the handler read from it.

Cause: the hook ResponseStarted waited for its event's result and for the loop's end in one select, which chooses at random if both are there.

Change: after the loop's end the result is looked for once more, which is final.

Test: TestResultOfLastEventIsKnownAfterLoopEnded, red with the former select; eventloop passes with -race.

--- a/internal/eventloop/attempt.go
+++ b/internal/eventloop/attempt.go
@@ -16,16 +16,26 @@
 		ResponseStarted: func(response upstream.Response) bool {
 			becomesReply := make(chan bool, 1)
 			l.Post(func(now time.Duration) { becomesReply <- l.handleStreamStarted(now, c, attempt, response) })
-			select {
-			case ok := <-becomesReply:
-				return ok
-			case <-l.done:
-				return false
-			}
+			return l.awaitResult(becomesReply)
 		},
 	}
 }
 
+// awaitResult returns what a posted event sends to result, or false if the loop has ended without handling the event.
+func (l *Loop) awaitResult(result <-chan bool) bool {
+	select {
+	case ok := <-result:
+		return ok
+	case <-l.done:
+	}
+	select {
+	case ok := <-result: // the event was the last one that the loop handled
+		return ok
+	default:
+		return false
+	}
+}
+
 // isWantedFunc returns the hook IsWanted of an attempt, which reports whether the request should still be sent now that the connection
 // is established. After the balancer decided on the attempt, the request may have got its reply, or its client may have disconnected.
 // A request with an idempotency key that an earlier attempt may have run must not be sent once endpoints no longer drop duplicates of
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -81,3 +81,20 @@
 		t.Errorf("AcceptsRequests returned true: balancer was given %v, want one request", balancer.ids)
 	}
 }
+
+// The loop may end right after it has made a streaming response a request's reply. The attempt must learn of the reply even then:
+// otherwise it releases the buffer of the response, and closes its connection, while the request's handler reads from them.
+func TestResultOfLastEventIsKnownAfterLoopEnded(t *testing.T) {
+	l := New(NewBalancer, balance.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
+	close(l.done)
+	result := make(chan bool, 1)
+	for range 100 { // a select chooses at random among the channels that are ready
+		result <- true
+		if !l.awaitResult(result) {
+			t.Fatal("the result of an event that was handled is lost")
+		}
+	}
+	if l.awaitResult(result) {
+		t.Error("an event that was not handled has a result")
+	}
+}
