Consensus: an initial voter without a log asks all daemons whether the cluster exists

Cause: it asked the other initial voters alone. Voters that were added have the log and were not asked, and answered no such request before their next start (startAddedVoter).

Change: every daemon reports whether it has a log, a lease or a cached version of the cluster. If the cluster exists and no initial voter has begun, it doesn't vote, and requests its lease from the voters that the reports name.

--- a/internal/cluster/consensus/bootstrap.go
+++ b/internal/cluster/consensus/bootstrap.go
@@ -15,12 +15,28 @@
 // A report (BootstrapVote) counts for one round only, since its sender may begin at any time; it is assumed that a daemon
 // does not lose its disk and restart within one round.
 //
+// The initial voters may all have been replaced since, so they are not the only ones that are asked: every other daemon
+// reports whether it knows that the cluster exists (ClusterReport). An initial voter creates no log while it waits for
+// these reports. If the cluster exists and no initial voter has begun, the disk on which this voter had begun is lost.
+// That the cluster exists stays known in later rounds. The conclusion is drawn only in a later round than the report,
+// since the votes of the same round may be older than the cluster.
+//
 // A Bootstrap is not safe for concurrent use.
 type Bootstrap struct {
-	round  uint64                   // number of the current round of vote requests; 0: none was started
-	name   string                   // name of this initial voter
-	diskID string                   // id of this voter's present disk
-	votes  map[string]BootstrapVote // vote of each other initial voter in the current round, by its name; zero value: not received
+	round          uint64                   // number of the current round of vote requests; 0: none was started
+	name           string                   // name of this initial voter
+	diskID         string                   // id of this voter's present disk
+	votes          map[string]BootstrapVote // vote of each other initial voter in the current round, by its name; zero value: not received
+	missingReports map[string]bool          // names of the other daemons whose ClusterReport has not arrived in the current round
+	unreachedCount int                      // number of daemons with which the caller had no contact yet when the current round began
+	clusterExists  bool                     // whether a daemon has reported, in any round, that the cluster exists
+	existsSince    uint64                   // round of the first report that the cluster exists
+}
+
+// ClusterReport is a daemon's report on whether its cluster was bootstrapped.
+type ClusterReport struct {
+	Exists bool     `json:"exists"`           // whether the daemon has a log of the cluster, or had a lease or a cached version of it
+	Voters []string `json:"voters,omitempty"` // names of the voters that the daemon knows; empty unless Exists
 }
 
 // BootstrapVote is an initial voter's report on whether it has created its log, and on which disk.
@@ -44,16 +60,40 @@
 	return b
 }
 
-// StartRound begins a round of vote requests and returns its number. The caller requests the votes of all other initial
-// voters and passes them to ReceiveVote with the returned number.
-func (b *Bootstrap) StartRound() uint64 {
+// StartRound begins a round of requests and returns its number. members are the names of the other daemons of which the caller
+// knows, and unreachedCount is the number of daemons that it could not contact yet. The caller requests the votes of all other
+// initial voters and the reports of all members, and passes them to ReceiveVote and ReceiveReport with the returned number.
+func (b *Bootstrap) StartRound(members []string, unreachedCount int) uint64 {
 	b.round++
+	b.unreachedCount = unreachedCount
 	for name := range b.votes {
 		b.votes[name] = BootstrapVote{}
 	}
+	b.missingReports = map[string]bool{}
+	for _, name := range members {
+		b.missingReports[name] = true
+	}
 	return b.round
 }
 
+// ReceiveReport records the report of a daemon on whether the cluster exists. A report that it does not exist counts for its
+// round only.
+func (b *Bootstrap) ReceiveReport(from string, round uint64, report ClusterReport) {
+	if report.Exists {
+		b.SetClusterExists()
+	}
+	if round == b.round {
+		delete(b.missingReports, from)
+	}
+}
+
+// SetClusterExists records that the cluster exists, according to a daemon's report or to what this daemon itself knows.
+func (b *Bootstrap) SetClusterExists() {
+	if !b.clusterExists {
+		b.clusterExists, b.existsSince = true, b.round
+	}
+}
+
 // Vote returns the vote of this voter, which has not created its log.
 func (b *Bootstrap) Vote() BootstrapVote { return BootstrapVote{DiskID: b.diskID} }
 
@@ -78,8 +118,9 @@
 
 // Decide returns the disk ids of all initial voters, by name, if this voter may create its log now, and else nil.
 // isDiskLost means that this voter must never create a log: another initial voter created its log when this voter had
-// another disk, which is lost.
-func (b *Bootstrap) Decide() (diskIDs map[string]string, isDiskLost bool) {
+// another disk, which is lost, or the cluster exists though no initial voter has a log. With awaitsReports, Decide returns nil
+// while a daemon is not reached or its report is missing, unless an initial voter has begun.
+func (b *Bootstrap) Decide(awaitsReports bool) (diskIDs map[string]string, isDiskLost bool) {
 	votedDiskIDs := map[string]string{b.name: b.diskID}
 	for name, vote := range b.votes {
 		if vote.HasBegun {
@@ -95,6 +136,10 @@
 		return maps.Clone(diskIDs), false
 	case len(b.MissingVotes()) > 0:
 		return nil, false
+	case b.clusterExists:
+		return nil, b.round > b.existsSince
+	case awaitsReports && len(b.missingReports)+b.unreachedCount > 0:
+		return nil, false
 	}
 	return votedDiskIDs, false
 }
--- a/internal/cluster/consensus/bootstrap_test.go
+++ b/internal/cluster/consensus/bootstrap_test.go
@@ -85,7 +85,7 @@
 				}
 				r.replaceDisk(name)
 				for _, b := range r.bootstraps { // a new round for each voter, since Bootstrap assumes that no disk is replaced within a round
-					b.StartRound()
+					b.StartRound(nil, 0)
 				}
 				continue
 			case 1:
@@ -97,7 +97,7 @@
 				continue
 			}
 			r.bootstraps[name].ReceiveVote(other, r.bootstraps[name].round, r.voteOf(other))
-			diskIDs, isDiskLost := r.bootstraps[name].Decide()
+			diskIDs, isDiskLost := r.bootstraps[name].Decide(true)
 			if diskIDs == nil || isDiskLost {
 				continue
 			}
@@ -118,12 +118,74 @@
 	b := NewBootstrap("a", "1", initialVoterNames)
 	b.ReceiveVote("b", 0, BootstrapVote{DiskID: "2"})
 	b.ReceiveVote("x", 0, BootstrapVote{HasBegun: true}) // must be dropped: x is not an initial voter
-	if diskIDs, isDiskLost := b.Decide(); diskIDs != nil || isDiskLost || fmt.Sprint(b.MissingVotes()) != "[c]" {
+	if diskIDs, isDiskLost := b.Decide(true); diskIDs != nil || isDiskLost || fmt.Sprint(b.MissingVotes()) != "[c]" {
 		t.Errorf("without the vote of c: disk ids %v, lost %v, missing votes %v; want none, false, [c]",
 			diskIDs, isDiskLost, b.MissingVotes())
 	}
 	b.ReceiveVote("c", 0, BootstrapVote{HasBegun: true, DiskIDs: map[string]string{"a": "0"}})
-	if _, isDiskLost := b.Decide(); !isDiskLost {
+	if _, isDiskLost := b.Decide(true); !isDiskLost {
 		t.Error("c created its log when a had another disk, but Decide does not report that disk as lost")
 	}
 }
+
+// An initial voter may have been replaced by daemons that are no initial voters. It must ask them before it creates a log.
+func TestBootstrapAsksOtherDaemonsForTheCluster(t *testing.T) {
+	const ownDisk = "1"
+	for name, c := range map[string]struct {
+		members        []string      // daemons that the voter knows, apart from the initial voters
+		unreachedCount int           // daemons that it could not contact yet
+		reports        []string      // members whose report arrives
+		clusterExists  bool          // what these members report
+		voteOfB        BootstrapVote // vote of the other initial voter
+		isTimedOut     bool          // the voter no longer waits for reports
+		mayCreateLog   bool          // want
+		isDiskLost     bool          // want, in the round after the reports
+	}{
+		"alone":                              {mayCreateLog: true},
+		"a member has not reported":          {members: []string{"d"}},
+		"a member never reports":             {members: []string{"d"}, isTimedOut: true, mayCreateLog: true},
+		"a daemon is not reached":            {unreachedCount: 1},
+		"a daemon is never reached":          {unreachedCount: 1, isTimedOut: true, mayCreateLog: true},
+		"all report that there is none":      {members: []string{"d", "e"}, reports: []string{"d", "e"}, mayCreateLog: true},
+		"one reports that it exists":         {members: []string{"d", "e"}, reports: []string{"d"}, clusterExists: true, isDiskLost: true},
+		"it exists, after the time":          {members: []string{"d"}, reports: []string{"d"}, clusterExists: true, isTimedOut: true, isDiskLost: true},
+		"it began with this disk":            {members: []string{"d"}, voteOfB: BootstrapVote{HasBegun: true, DiskIDs: map[string]string{"a": ownDisk}}, mayCreateLog: true},
+		"it exists, and began with the disk": {members: []string{"d"}, reports: []string{"d"}, clusterExists: true, voteOfB: BootstrapVote{HasBegun: true, DiskIDs: map[string]string{"a": ownDisk}}, mayCreateLog: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if !c.voteOfB.HasBegun {
+				c.voteOfB.DiskID = "2"
+			}
+			b := NewBootstrap("a", ownDisk, []string{"a", "b"})
+			for range 2 {
+				round := b.StartRound(c.members, c.unreachedCount)
+				b.ReceiveVote("b", round, c.voteOfB)
+				for _, member := range c.reports {
+					b.ReceiveReport(member, round, ClusterReport{Exists: c.clusterExists})
+				}
+				if diskIDs, isDiskLost := b.Decide(!c.isTimedOut); (diskIDs != nil) != c.mayCreateLog || isDiskLost && round == 1 {
+					t.Errorf("round %d: disk ids %v, lost %v, want that it may create its log: %v", round, diskIDs, isDiskLost, c.mayCreateLog)
+				}
+			}
+			if _, isDiskLost := b.Decide(!c.isTimedOut); isDiskLost != c.isDiskLost {
+				t.Errorf("the disk is lost: %v, want %v", isDiskLost, c.isDiskLost)
+			}
+		})
+	}
+}
+
+// A report of an earlier round says only then something about now if it says that the cluster exists.
+func TestBootstrapKeepsOnlyReportsThatClusterExists(t *testing.T) {
+	b := NewBootstrap("a", "1", []string{"a"})
+	first := b.StartRound([]string{"d"}, 0)
+	b.StartRound([]string{"d"}, 0)
+	b.ReceiveReport("d", first, ClusterReport{})
+	if diskIDs, _ := b.Decide(true); diskIDs != nil {
+		t.Errorf("disk ids %v after a report of an earlier round, want none", diskIDs)
+	}
+	b.ReceiveReport("d", first, ClusterReport{Exists: true})
+	b.StartRound(nil, 0)
+	if diskIDs, isDiskLost := b.Decide(true); diskIDs != nil || !isDiskLost {
+		t.Errorf("disk ids %v, lost %v after a report that the cluster exists, want none, true", diskIDs, isDiskLost)
+	}
+}
--- a/internal/cluster/raftnode/cluster_test.go
+++ b/internal/cluster/raftnode/cluster_test.go
@@ -38,22 +38,30 @@
 	}
 }
 
-// testCluster has nodes with the names s0, s1 and so on in one process, connected by real transports. The initial voters
-// are s0, s1 and s2.
+// testCluster has nodes with the names s0, s1 and so on in one process, connected by real transports.
 type testCluster struct {
 	t          *testing.T
 	transports []*transport.Transport
 	nodes      []*Node
 	disks      []*simdisk.Disk
+
+	initialVoters []string
 }
 
 // testDocument is the name of the only document that tests of a testCluster change.
 const testDocument = "doc"
 
-// newTestCluster starts a cluster whose number of nodes is size. The nodes are closed when the test ends.
+// newTestCluster starts a cluster whose number of nodes is size and whose initial voters are s0, s1 and s2. The nodes are closed
+// when the test ends.
 func newTestCluster(t *testing.T, size int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t}
+	return newTestClusterOf(t, size, "s2", "s0", "s1")
+}
+
+// newTestClusterOf starts a cluster whose number of nodes is size. The nodes are closed when the test ends.
+func newTestClusterOf(t *testing.T, size int, initialVoters ...string) *testCluster {
+	t.Helper()
+	c := &testCluster{t: t, initialVoters: initialVoters}
 	for i := range size {
 		o := transport.Options{
 			Name: fmt.Sprint("s", i),
@@ -84,7 +92,7 @@
 	c.t.Helper()
 	node, err := Start(Options{
 		Name:          fmt.Sprint("s", i),
-		InitialVoters: []string{"s2", "s0", "s1"},
+		InitialVoters: c.initialVoters,
 		Disk:          c.disks[i],
 		Lease:         testLeaseConfig,
 		Transport:     c.transports[i],
--- a/internal/cluster/raftnode/localvoter_test.go
+++ b/internal/cluster/raftnode/localvoter_test.go
@@ -170,6 +170,44 @@
 	c.waitUntilNodesActOn(append(c.nodes[:2:2], c.nodes[3]), c.put(3, "c", "three"), "three")
 }
 
+// Initial voters that were replaced and return with empty disks must not bootstrap the cluster a second time: it would have two
+// leaders. The voters that were added have the log, and the initial voters learn of the cluster from them.
+func TestReplacedInitialVotersWithEmptyDisksFoundNoSecondCluster(t *testing.T) {
+	for _, initialVoters := range [][]string{{"s0"}, {"s0", "s1", "s2"}} {
+		t.Run(fmt.Sprint(len(initialVoters), " initial voters"), func(t *testing.T) {
+			c, replacedCount := newTestClusterOf(t, 6, initialVoters...), len(initialVoters)
+			c.waitUntilAllNodesActOn(c.put(5, "a", "one"), "one")
+			for i := range max(replacedCount, 2) { // at least two voters are added
+				added := replacedCount + i
+				c.changeVotersWithRetry(5, c.nodes[added].options.Name, false)
+				c.waitIsVoter(added, true)
+				if i < replacedCount {
+					c.changeVotersWithRetry(5, initialVoters[i], true)
+					c.waitIsVoter(i, false)
+				}
+			}
+			for i := range replacedCount {
+				c.nodes[i].Close()
+				c.disks[i] = simdisk.New()
+			}
+			for i := range replacedCount {
+				c.start(i)
+			}
+			for i := range replacedCount {
+				testpeer.Eventually(t, initialVoters[i]+" learns that its disk is lost", func() bool {
+					isDiskLost := make(chan bool, 1)
+					c.nodes[i].submit(t.Context(), func() { isDiskLost <- c.nodes[i].isDiskLossLogged })
+					return <-isDiskLost || c.nodes[i].Status().IsVoter
+				})
+				if s := c.nodes[i].Status(); s.IsVoter || s.Term > 0 {
+					t.Errorf("%s votes, in term %d, though the cluster has replaced it and its disk is empty", initialVoters[i], s.Term)
+				}
+			}
+			c.waitUntilAllNodesActOn(c.put(0, "b", "two"), "two")
+		})
+	}
+}
+
 // A change of the voters is rejected while another change is in progress. A voter whose daemon never starts can be
 // removed.
 func TestVoterChangeIsRejectedWhileAnotherIsInProgress(t *testing.T) {
--- a/internal/cluster/raftnode/messages_test.go
+++ b/internal/cluster/raftnode/messages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"tuliprock/internal/cluster/consensus"
@@ -34,6 +35,11 @@
 			body: bootstrapMessage{Round: 4, Vote: consensus.BootstrapVote{HasBegun: true, DiskIDs: map[string]string{"a": "m"}}},
 			want: `{"round":4,"asks":false,"word":{"begun":true,"mark":"","marks":{"a":"m"}}}`,
 		},
+		{
+			name: "report that the cluster exists",
+			body: bootstrapMessage{Round: 5, Cluster: &consensus.ClusterReport{Exists: true, Voters: []string{"a"}}},
+			want: `{"round":5,"asks":false,"word":{"begun":false,"mark":"","marks":null},"cluster":{"exists":true,"voters":["a"]}}`,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got, err := json.Marshal(c.body)
@@ -46,3 +52,24 @@
 		})
 	}
 }
+
+// In a large fleet a round asks some of the members, and the rounds together all.
+func TestBootstrapRoundsAskAllMembersInTurn(t *testing.T) {
+	var members []string
+	for i := range 3*maxReportsPerRound + 5 {
+		members = append(members, fmt.Sprint("m", i))
+	}
+	b, asked := &bootstrap{}, map[string]bool{}
+	for range 4 {
+		names := b.membersToAsk(members)
+		if len(names) != maxReportsPerRound {
+			t.Errorf("a round asks %d members, want %d", len(names), maxReportsPerRound)
+		}
+		for _, name := range names {
+			asked[name] = true
+		}
+	}
+	if len(asked) != len(members) {
+		t.Errorf("four rounds ask %d members, want all %d", len(asked), len(members))
+	}
+}
--- a/internal/cluster/raftnode/node.go
+++ b/internal/cluster/raftnode/node.go
@@ -40,6 +40,9 @@
 	Send(name string, kind byte, body []byte) error
 	// Messages returns the channel of the messages that other daemons sent to this one.
 	Messages() <-chan transport.Message
+	// Contacts returns the names of the other daemons that take part in the cluster as far as this daemon knows, and the number
+	// of daemons that it is configured to contact and has not reached yet.
+	Contacts() (names []string, unreachedCount int)
 }
 
 // Options of a Node. Name, InitialVoters, Lease, Transport, Now and Log must be set.
--- a/internal/cluster/transport/delivery.go
+++ b/internal/cluster/transport/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -45,6 +46,25 @@
 	return members[i], true
 }
 
+// Contacts returns the names of the other members that are alive or suspect, and the number of addresses in Options.Join, other than
+// this daemon's own, that no known member has.
+func (t *Transport) Contacts() (names []string, unreachedCount int) {
+	options := t.options.Load()
+	isReached := map[netip.AddrPort]bool{options.Listen: true, options.Advertise: true}
+	for _, m := range t.View().Members {
+		isReached[m.Addr] = true
+		if m.Name != options.Name && m.State.IsPresent() {
+			names = append(names, m.Name)
+		}
+	}
+	for _, addr := range options.Join {
+		if !isReached[addr] {
+			unreachedCount++
+		}
+	}
+	return names, unreachedCount
+}
+
 // receive delivers the message in the packet b, or drops the packet, and counts the packet as received or dropped. It drops a
 // message of the failure detector with more than maxUpdates updates. b may be reused when receive has returned.
 func (t *Transport) receive(b []byte, maxUpdates int) {
--- a/internal/cluster/transport/delivery_test.go
+++ b/internal/cluster/transport/delivery_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"testing"
 
@@ -129,3 +130,28 @@
 	conn.Write([]byte{0xff, 0xff, 0xff, 0xff, 1})
 	testpeer.Eventually(t, "the stream is counted as malformed", func() bool { return a.Metrics().Malformed > before })
 }
+
+// An address in Options.Join counts as reached once a member has it, also if that member has failed since.
+func TestContactsCountUnreachedAddresses(t *testing.T) {
+	a := startTransport(t, testOptions("a"))
+	nobody := testpeer.FreeAddress(t)
+	b := startTransport(t, testOptions("b", a.Addr(), netip.MustParseAddrPort(nobody)))
+	for _, c := range []struct {
+		when           string
+		names          string
+		unreachedCount int
+		prepare        func()
+	}{
+		{"while a is alive", "[a]", 1, func() {}},
+		{"after the end of a", "[]", 1, func() { _ = a.Abort() }},
+	} {
+		c.prepare()
+		testpeer.Eventually(t, fmt.Sprintf("contacts %s: %s, unreached %d", c.when, c.names, c.unreachedCount), func() bool {
+			names, unreachedCount := b.Contacts()
+			return fmt.Sprint(names) == c.names && unreachedCount == c.unreachedCount
+		})
+	}
+	if _, unreachedCount := startTransport(t, testOptions("c", a.Addr())).Contacts(); unreachedCount != 1 {
+		t.Errorf("%d addresses are unreached at the start, want 1", unreachedCount)
+	}
+}
