Raft node: messages of another bootstrap of the same cluster are dropped

What callers saw: where a cluster was bootstrapped twice, daemons of the first took settings from the leader of the second.

Cause: the cluster's identity was a digest of the initial voters' names; leases and commands named no cluster.

Change: each bootstrap has an id, from the disk ids of its initial voters; raft messages, lease requests, grants and commands carry it as a field that earlier builds ignore. Voters that were added and daemons without a vote learn it from a leader and keep it.

--- a/internal/cluster/raftnode/cluster_test.go
+++ b/internal/cluster/raftnode/cluster_test.go
@@ -30,6 +30,21 @@
 	return l
 }
 
+// discardLog is a log that is not written anywhere.
+var discardLog = slog.New(slog.DiscardHandler)
+
+// testTransportOptions returns the options of the transport of a testCluster's daemon with the given name.
+func testTransportOptions(name string) transport.Options {
+	return transport.Options{
+		Name: name,
+		Timing: swim.Options{
+			ProbeInterval:    100 * time.Millisecond,
+			ProbeTimeout:     50 * time.Millisecond,
+			SuspicionTimeout: 300 * time.Millisecond,
+		},
+	}
+}
+
 // abort stops a transport without notifying the other members, as if the transport's process had been killed.
 func abort(t *testing.T, l *transport.Transport) {
 	t.Helper()
@@ -63,14 +78,7 @@
 	t.Helper()
 	c := &testCluster{t: t, initialVoters: initialVoters}
 	for i := range size {
-		o := transport.Options{
-			Name: fmt.Sprint("s", i),
-			Timing: swim.Options{
-				ProbeInterval:    100 * time.Millisecond,
-				ProbeTimeout:     50 * time.Millisecond,
-				SuspicionTimeout: 300 * time.Millisecond,
-			},
-		}
+		o := testTransportOptions(fmt.Sprint("s", i))
 		if i > 0 {
 			o.Join = []netip.AddrPort{c.transports[0].Addr()}
 		}
--- a/internal/cluster/raftnode/compatibility_test.go
+++ b/internal/cluster/raftnode/compatibility_test.go
@@ -220,6 +220,7 @@
 		want.initialVoters, want.voterID = earlierInitialVoters, uint64(slices.Index(earlierInitialVoters, daemon)+1)
 		want.diskIDs = maps.Clone(earlierDiskIDs)
 		delete(want.diskIDs, "bay-4")
+		want.founding = "5f953d00c9446126" // the first 8 bytes of SHA-256 of the initial voters' names and disk ids
 	}
 	got := n.localVoter.identity
 	if fmt.Sprintf("%x", got.clusterID) != wantClusterID {
--- a/internal/cluster/raftnode/identity.go
+++ b/internal/cluster/raftnode/identity.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"tuliprock/internal/wal"
 )
 
 const (
@@ -16,7 +18,7 @@
 )
 
 // identity says which voter of which cluster owns a data directory. It is stored in a file (identityFile) beside the
-// durable log, and the file is written once. The identity of an initial voter has the names of all initial voters, from
+// durable log. The file is written once, but that learnFounding may complete it. The identity of an initial voter has the names of all initial voters, from
 // which their raft ids follow; the identity of a voter that was added later has its assigned raft id and the cluster's id.
 type identity struct {
 	name          string            // name of the daemon that runs the voter
@@ -24,8 +26,12 @@
 	voterID       uint64            // raft id of the voter; 0: initialVoters does not contain the daemon's name
 	clusterID     clusterID         // digest of the initial voters' names, which identifies the cluster
 	diskIDs       map[string]string // for an initial voter: disk ids of all initial voters, by name, when the first of them created its log
+	founding      foundingID        // id of the bootstrap of the cluster; empty: not known, since an earlier build wrote the identity
 }
 
+// foundingLine is the first word of the line with the foundingID in the identity file of a voter that was added later.
+const foundingLine = "founding"
+
 // clusterID is a digest of the names of a cluster's initial voters. With it, a voter recognizes and drops raft messages
 // of voters of another cluster.
 type clusterID [clusterIDSize]byte
@@ -48,13 +54,26 @@
 		voterID:       uint64(slices.Index(initialVoters, name) + 1),
 		clusterID:     newClusterID(initialVoters),
 		diskIDs:       diskIDs,
+		founding:      newFoundingID(initialVoters, diskIDs),
+	}
+}
+
+// write writes the identity file.
+func (i *identity) write(fs wal.FS) error {
+	if err := wal.ReplaceFile(fs, identityFile, []byte(i.String()+"\n")); err != nil {
+		return fmt.Errorf("write %s: %w", identityFile, err)
 	}
+	return nil
 }
 
 // String returns the contents of the identity file, without the final newline.
 func (i *identity) String() string {
 	if len(i.initialVoters) == 0 {
-		return fmt.Sprintf("%s joined as %d in %x", i.name, i.voterID, i.clusterID)
+		text := fmt.Sprintf("%s joined as %d in %x", i.name, i.voterID, i.clusterID)
+		if i.founding != "" {
+			text += "\n" + foundingLine + " " + string(i.founding)
+		}
+		return text
 	}
 	text := i.name + " of " + strings.Join(i.initialVoters, " ")
 	for _, name := range slices.Sorted(maps.Keys(i.diskIDs)) {
@@ -80,8 +99,10 @@
 	case len(words) == 6 && words[1] == "joined" && words[4] == "in":
 		clusterIDBytes, err := hex.DecodeString(words[5])
 		id, idErr := strconv.ParseUint(words[3], 10, 64)
-		if err == nil && idErr == nil && len(clusterIDBytes) == clusterIDSize && id > 0 {
-			return &identity{name: words[0], voterID: id, clusterID: clusterID(clusterIDBytes), diskIDs: diskIDs}, nil
+		founding := foundingID(diskIDs[foundingLine])
+		delete(diskIDs, foundingLine)
+		if err == nil && idErr == nil && len(clusterIDBytes) == clusterIDSize && id > 0 && (founding == "" || founding.isValid()) {
+			return &identity{name: words[0], voterID: id, clusterID: clusterID(clusterIDBytes), diskIDs: diskIDs, founding: founding}, nil
 		}
 	}
 	return nil, fmt.Errorf("%s: not the identity of a voter: %.100q", identityFile, text)
--- a/internal/cluster/raftnode/identity_test.go
+++ b/internal/cluster/raftnode/identity_test.go
@@ -29,10 +29,15 @@
 				diskIDs: map[string]string{"a": "MA", "b": "MB", "c": "MC"}},
 		},
 		{
-			name: "voter that was added later",
+			name: "voter that was added later by an earlier build",
 			text: "d joined as 4 in " + clusterIDOfABC,
 			want: identity{name: "d", voterID: 4},
 		},
+		{
+			name: "voter that was added later",
+			text: "d joined as 4 in " + clusterIDOfABC + "\nfounding 0011223344556677",
+			want: identity{name: "d", voterID: 4, founding: founding1},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got, err := parseIdentity(c.text + "\n")
@@ -40,7 +45,8 @@
 				t.Fatal(err)
 			}
 			if got.name != c.want.name || got.voterID != c.want.voterID ||
-				!slices.Equal(got.initialVoters, c.want.initialVoters) || !maps.Equal(got.diskIDs, c.want.diskIDs) {
+				!slices.Equal(got.initialVoters, c.want.initialVoters) || !maps.Equal(got.diskIDs, c.want.diskIDs) ||
+				len(c.want.initialVoters) == 0 && got.founding != c.want.founding {
 				t.Errorf("parsed as %+v, want %+v", *got, c.want)
 			}
 			if clusterID := hex.EncodeToString(got.clusterID[:]); clusterID != clusterIDOfABC {
--- a/internal/cluster/raftnode/leaseclient.go
+++ b/internal/cluster/raftnode/leaseclient.go
@@ -39,14 +39,14 @@
 		_ = n.localVoter.voter.RequestLease(r) // if RequestLease fails, the daemon repeats the request at nextRequestAt
 		return
 	}
-	n.sendJSON(c.leader, kindLeaseRequest, r)
+	n.sendInCluster(c.leader, kindLeaseRequest, r)
 }
 
 // handleLeaseRequest passes another daemon's request to this daemon's voter. If this daemon does not lead, it sends the
 // names of the voters that it knows to the requesting daemon, which may know only earlier voters.
 func (n *Node) handleLeaseRequest(m transport.Message) {
 	var r consensus.LeaseRequest
-	if json.Unmarshal(m.Body, &r) != nil || r.Daemon != m.From {
+	if _, ok := n.openInCluster(&m); !ok || json.Unmarshal(m.Body, &r) != nil || r.Daemon != m.From {
 		return
 	}
 	if n.localVoter == nil || n.localVoter.voter.RequestLease(r) != nil {
@@ -54,10 +54,13 @@
 	}
 }
 
-// handleLeaseGrant applies a grant that another daemon sent, and drops a grant of a daemon that is no known voter.
+// handleLeaseGrant applies a grant that another daemon sent, and drops a grant of a daemon that is no known voter or that belongs to
+// another bootstrap of the cluster.
 func (n *Node) handleLeaseGrant(now time.Duration, m transport.Message) {
 	var g consensus.LeaseGrant
-	if slices.Contains(n.leaseClient.knownVoters, m.From) && json.Unmarshal(m.Body, &g) == nil {
+	founding, ok := n.openInCluster(&m)
+	if ok && slices.Contains(n.leaseClient.knownVoters, m.From) && json.Unmarshal(m.Body, &g) == nil {
+		n.learnFounding(founding)
 		n.applyGrant(now, m.From, g)
 	}
 }
@@ -83,7 +86,7 @@
 	if leased.Version != g.Version {
 		return // this daemon does not act yet on the active version, which the grant names
 	}
-	if leased.Version != n.cachedEntry.Version || !slices.Equal(g.SlotHolders, n.cachedEntry.Voters) {
+	if leased.Version != n.cachedEntry.Version || !slices.Equal(g.SlotHolders, n.cachedEntry.Voters) || n.isCacheOutdated {
 		n.cacheVersion(leased, g.SlotHolders)
 	}
 	if !c.hasFirstGrant {
--- a/internal/cluster/raftnode/localvoter.go
+++ b/internal/cluster/raftnode/localvoter.go
@@ -73,8 +73,8 @@
 	if len(names) > 0 {
 		return nil, fmt.Errorf("the directory belongs to no voter: it has %d other files but no %s", len(names), identityFile)
 	}
-	if err := wal.ReplaceFile(n.options.Disk, identityFile, []byte(ownIdentity.String()+"\n")); err != nil {
-		return nil, fmt.Errorf("write %s: %w", identityFile, err)
+	if err := ownIdentity.write(n.options.Disk); err != nil {
+		return nil, err
 	}
 	return n.openVoter(now, ownIdentity)
 }
@@ -127,7 +127,8 @@
 		n.stopVoter()
 	case consensus.StartVoter:
 		if !n.isVoterStartDisabled {
-			n.startAddedVoter(now, &identity{name: n.options.Name, voterID: g.VoterID, clusterID: newClusterID(g.InitialVoters)})
+			n.startAddedVoter(now, &identity{name: n.options.Name, voterID: g.VoterID, clusterID: newClusterID(g.InitialVoters),
+				founding: n.foundingID()})
 		}
 	case consensus.VoterDiskLost:
 		if !n.isDiskLossLogged && !n.isVoterStartDisabled {
--- a/internal/cluster/raftnode/node.go
+++ b/internal/cluster/raftnode/node.go
@@ -89,12 +89,14 @@
 	localVoter           *localVoter              // this daemon's voter; nil: the daemon runs none
 	isVoterStartDisabled bool                     // whether this process must not start a voter any more
 	isDiskLossLogged     bool                     // whether the loss of the disk of this daemon's voter was logged
+	otherClusterMessages uint64                   // number of messages of another bootstrap of the cluster that were dropped
 	diskID               string                   // id of this daemon's disk; empty if the disk had a voter at Start, or there is no disk
 	bootstrap            *bootstrap               // bootstrap of an initial voter that has not created its log; nil in all other cases
 	bootstrapVote        *consensus.BootstrapVote // vote that tells other initial voters that this daemon has created its log; nil: no such vote is sent
 	leaseClient          leaseClient              // this daemon's lease, and the voters that may grant it
 	proposals            pendingProposals         // commands whose result is not known yet, or has not been passed to a caller yet
 	cachedEntry          cacheEntry               // contents of the cache file, without the documents
+	isCacheOutdated      bool                     // whether cachedEntry has a Founding that the cache file does not have yet
 }
 
 // Start loads the state on Options.Disk and starts the event loop. An error names the damaged file, or says what is wrong
--- a/internal/cluster/raftnode/proposals.go
+++ b/internal/cluster/raftnode/proposals.go
@@ -128,7 +128,7 @@
 	var cmd struct {
 		ID string `json:"id"`
 	}
-	if n.localVoter == nil || json.Unmarshal(m.Body, &cmd) != nil || cmd.ID == "" {
+	if _, ok := n.openInCluster(&m); !ok || n.localVoter == nil || json.Unmarshal(m.Body, &cmd) != nil || cmd.ID == "" {
 		return
 	}
 	if known := n.proposals[cmd.ID]; known != nil {
@@ -163,7 +163,7 @@
 			}
 			p.scheduleRetry(now)
 		default:
-			n.send(n.leaseClient.leader, kindProposal, p.body)
+			n.send(n.leaseClient.leader, kindProposal, prependFounding(n.foundingID(), p.body))
 			p.scheduleRetry(now)
 		}
 	}
--- a/internal/cluster/raftnode/versioncache.go
+++ b/internal/cluster/raftnode/versioncache.go
@@ -24,16 +24,18 @@
 	Version uint64                        `json:"version"` // version on which the daemon acted last
 	Docs    map[string]consensus.Document `json:"docs"`    // documents of Version, by name
 	Voters  []string                      `json:"voters"`  // names of the daemons with a voter slot, sorted, from which a lease may be requested
+
+	Founding foundingID `json:"founding,omitempty"` // id of the bootstrap of the cluster; empty: not known
 }
 
 // cacheVersion writes the version on which this daemon acts, and the names of the voters, to the cache file. If the disk
 // fails, the write is not repeated and the daemon continues: it only lacks the cached version at its next start.
 func (n *Node) cacheVersion(leased consensus.LeasedVersion, voters []string) {
-	n.cachedEntry = cacheEntry{Version: leased.Version, Voters: voters}
+	n.cachedEntry, n.isCacheOutdated = cacheEntry{Version: leased.Version, Voters: voters, Founding: n.foundingID()}, false
 	if n.options.Disk == nil {
 		return
 	}
-	body, err := json.Marshal(cacheEntry{Version: leased.Version, Docs: leased.Docs, Voters: voters})
+	body, err := json.Marshal(cacheEntry{Version: leased.Version, Docs: leased.Docs, Voters: voters, Founding: n.cachedEntry.Founding})
 	if err == nil {
 		err = wal.ReplaceFile(n.options.Disk, cacheFile, fmt.Appendf(nil, "%x\n%s", sha256.Sum256(body), body))
 	}
@@ -59,7 +61,7 @@
 	if entry == nil {
 		return 0, nil
 	}
-	n.cachedEntry = cacheEntry{Version: entry.Version, Voters: entry.Voters}
+	n.cachedEntry = cacheEntry{Version: entry.Version, Voters: entry.Voters, Founding: entry.Founding}
 	n.leaseClient.setVoters(entry.Voters, n.options.InitialVoters)
 	return entry.Version, entry.Docs
 }
--- a/internal/cluster/raftnode/voterio.go
+++ b/internal/cluster/raftnode/voterio.go
@@ -31,8 +31,8 @@
 	if len(m.Body) < clusterIDSize || proto.Unmarshal(m.Body[clusterIDSize:], message) != nil {
 		return
 	}
-	v := n.localVoter
-	if v == nil || clusterID(m.Body[:clusterIDSize]) != v.clusterID || message.GetTo() != v.voterID {
+	v, founding := n.localVoter, takeRaftFounding(message)
+	if v == nil || clusterID(m.Body[:clusterIDSize]) != v.clusterID || message.GetTo() != v.voterID || !n.acceptsFounding(m.From, founding) {
 		return
 	}
 	switch knownName := v.peerName(message.GetFrom()); {
@@ -104,6 +104,7 @@
 	}
 	body, err := proto.Marshal(message)
 	if err == nil {
+		body = appendRaftFounding(body, n.foundingID())
 		err = n.options.Transport.Send(name, kindRaft, append(n.localVoter.clusterID[:], body...))
 	}
 	if message.GetType() == raftpb.MsgSnap {
@@ -117,7 +118,7 @@
 		if g.Recipient == n.options.Name {
 			n.applyGrant(n.options.Now(), n.options.Name, g.Grant)
 		} else {
-			n.sendJSON(g.Recipient, kindLeaseGrant, g.Grant)
+			n.sendInCluster(g.Recipient, kindLeaseGrant, g.Grant)
 		}
 	}
 }
