--- a/internal/cluster/consensus/membership_test.go
+++ b/internal/cluster/consensus/membership_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"testing"
 	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
 )
 
 // newSingleVoter returns the leading voter of a cluster that has no other voter, and the present instant.
@@ -179,3 +181,28 @@
 		})
 	}
 }
+
+// A snapshot whose State can't be decoded, as that of a much later build, must not end the daemon's process: the voter stops, and
+// nothing of the snapshot is used.
+func TestSnapshotThatCannotBeDecodedStopsTheVoter(t *testing.T) {
+	state, err := NewRecoveredState([]string{"a", "b", "c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := NewVoter(0, Config{ID: 1, HeartbeatInterval: time.Second, Seed: 1, Lease: testLeaseConfig}, state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	drainOutput(v, 0)
+	kind, to, from, term, index := raftpb.MessageType_MsgSnap, uint64(1), uint64(2), uint64(3), uint64(50)
+	v.Receive(0, &raftpb.Message{Type: &kind, To: &to, From: &from, Term: &term, Snapshot: &raftpb.Snapshot{
+		Data:     []byte("not a state"),
+		Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term, ConfState: &raftpb.ConfState{Voters: []uint64{1, 2, 3}}},
+	}})
+	if out := v.Output(0); out != nil || !errors.Is(v.StopReason, ErrUnusableSnapshot) {
+		t.Errorf("output %+v, stop reason %v; want none, %v", out, v.StopReason, ErrUnusableSnapshot)
+	}
+	if v.State().VoterName(1) != "a" {
+		t.Errorf("the State was replaced: voter 1 is %q, want a", v.State().VoterName(1))
+	}
+}
--- a/internal/cluster/consensus/output.go
+++ b/internal/cluster/consensus/output.go
@@ -41,7 +41,9 @@
 	}
 	hasSnapshot := !raft.IsEmptySnap(ready.Snapshot)
 	if hasSnapshot {
-		v.installSnapshot(ready.Snapshot)
+		if v.StopReason = v.installSnapshot(ready.Snapshot); v.StopReason != nil {
+			return nil
+		}
 	}
 	out.Records = v.appendToLog(&ready)
 	for _, read := range ready.ReadStates {
@@ -69,13 +71,19 @@
 	return out
 }
 
-// installSnapshot replaces the log and the State by a snapshot received from another voter.
-func (v *Voter) installSnapshot(snapshot *raftpb.Snapshot) {
-	if err := errors.Join(v.storage.ApplySnapshot(snapshot), v.restore(snapshot)); err != nil {
-		// Another voter has sent a snapshot that this build can't install. If the cluster has keys, no process outside
-		// the cluster can have sent it: the transport has verified the message's signature.
-		panic(fmt.Sprintf("install snapshot of another voter: %v", err))
+// ErrUnusableSnapshot is the reason why a voter stops that has received a snapshot which this build can't install.
+var ErrUnusableSnapshot = errors.New("the snapshot of another voter can't be installed")
+
+// installSnapshot replaces the log and the State by a snapshot received from another voter. If it returns an error, which wraps
+// ErrUnusableSnapshot, the voter must not continue: raft already takes the snapshot for installed.
+func (v *Voter) installSnapshot(snapshot *raftpb.Snapshot) error {
+	if err := v.restore(snapshot); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnusableSnapshot, err)
+	}
+	if err := v.storage.ApplySnapshot(snapshot); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnusableSnapshot, err)
 	}
+	return nil
 }
 
 // appendToLog appends raft's new entries and raft's hard state to the log in memory, and returns both as records for the
--- a/internal/cluster/consensus/snapshot.go
+++ b/internal/cluster/consensus/snapshot.go
@@ -53,18 +53,17 @@
 	}
 }
 
-// restore replaces this voter's State by the State in a snapshot of raft.
+// restore replaces this voter's State by the State in a snapshot of raft. If it returns an error, it changes nothing.
 func (v *Voter) restore(snapshot *raftpb.Snapshot) error {
-	v.appliedIndex, v.snapshotIndex = snapshot.GetMetadata().GetIndex(), snapshot.GetMetadata().GetIndex()
-	v.state, v.confState = NewState(), snapshot.GetMetadata().GetConfState()
-	if len(snapshot.GetData()) == 0 {
-		return nil
-	}
-	state, err := DecodeState(snapshot.GetData())
-	if err != nil {
-		return err
+	state := NewState()
+	if len(snapshot.GetData()) > 0 {
+		var err error
+		if state, err = DecodeState(snapshot.GetData()); err != nil {
+			return err
+		}
 	}
-	v.state = state
+	v.appliedIndex, v.snapshotIndex = snapshot.GetMetadata().GetIndex(), snapshot.GetMetadata().GetIndex()
+	v.state, v.confState = state, snapshot.GetMetadata().GetConfState()
 	return nil
 }
 
