--- a/internal/cluster/raftnode/voterio.go
+++ b/internal/cluster/raftnode/voterio.go
@@ -1,6 +1,7 @@
 package raftnode
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -95,21 +96,31 @@
 	return nil
 }
 
-// sendRaft sends a raft message to its recipient. It reports to raft whether a snapshot was sent; raft needs no such
-// report for other messages, since it resends them without being told that they were lost.
+// errUnknownRecipient is returned for a raft message to a voter whose daemon's name is not known.
+var errUnknownRecipient = errors.New("no name is known for the voter")
+
+// sendRaft sends a raft message to its recipient. It reports to raft whether a snapshot was sent: without the report raft would send
+// the recipient nothing more. raft needs no such report for other messages, since it resends them without being told that they
+// were lost.
 func (n *Node) sendRaft(message *raftpb.Message) {
+	err := n.trySendRaft(message)
+	if message.GetType() == raftpb.MsgSnap {
+		n.localVoter.voter.ReportSnapshot(message.GetTo(), err == nil)
+	}
+}
+
+// trySendRaft sends a raft message to its recipient.
+func (n *Node) trySendRaft(message *raftpb.Message) error {
 	name := n.localVoter.peerName(message.GetTo())
 	if name == "" {
-		return
+		return errUnknownRecipient
 	}
 	body, err := proto.Marshal(message)
-	if err == nil {
-		body = appendRaftFounding(body, n.foundingID())
-		err = n.options.Transport.Send(name, kindRaft, append(n.localVoter.clusterID[:], body...))
-	}
-	if message.GetType() == raftpb.MsgSnap {
-		n.localVoter.voter.ReportSnapshot(message.GetTo(), err == nil)
+	if err != nil {
+		return err
 	}
+	body = appendRaftFounding(body, n.foundingID())
+	return n.options.Transport.Send(name, kindRaft, append(n.localVoter.clusterID[:], body...))
 }
 
 // deliverGrants sends the grants of this daemon's voter to other daemons, and applies the grant for this daemon.
