Event loop: a retry of a streaming body keeps its request's deadline

What callers saw: requests with Expect: 100-continue whose first attempt failed late got their answer up to a full deadline late.

Cause: each attempt's last byte set the deadline to now plus the full time, and each attempt told its endpoint the full time.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -66,6 +66,7 @@
 	receivedBytes int64     // bytes of the body that have arrived
 	isReading     bool      // a read of Source.Body is in progress
 	isComplete    bool      // the body's end has arrived
+	completedAt   time.Time // when the body's end arrived; zero unless isComplete
 	isConsumed    bool      // the body can't be sent again: bytes beyond the first PrefixSize were returned, or TakeBuffer was called
 	isStopped     bool      // no more reads of Source.Body may start
 	isClosed      bool      // Close was called: the buffer may be released, and gets no more users
@@ -107,6 +108,13 @@
 	return u.isComplete
 }
 
+// CompletedAt returns when the body's end arrived. isComplete is false if it has not arrived yet.
+func (u *Upload) CompletedAt() (at time.Time, isComplete bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.completedAt, u.isComplete
+}
+
 // Failed returns a channel that is closed when the body could not be read. Err then returns the reason.
 func (u *Upload) Failed() <-chan struct{} { return u.failed }
 
--- a/internal/body/upload_receive.go
+++ b/internal/body/upload_receive.go
@@ -138,7 +138,7 @@
 	case u.receivedBytes > u.MaxBytes:
 		u.fail(ErrTooLong)
 	case errors.Is(err, io.EOF):
-		u.isComplete = true
+		u.isComplete, u.completedAt = true, time.Now()
 		_ = u.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		u.fail(fmt.Errorf("%w: the body does not arrive", ErrTooSlow))
--- a/internal/eventloop/attempt.go
+++ b/internal/eventloop/attempt.go
@@ -50,12 +50,41 @@
 
 // handleBodySent handles the event that an attempt has written the last byte of a streaming body.
 func (l *Loop) handleBodySent(now time.Duration, c *Call, attempt int) {
-	if !c.isFinished.Load() && c.ResponseTimeout > 0 {
-		c.Deadline = min(now+c.ResponseTimeout, c.StreamUntil)
+	if !c.isFinished.Load() {
+		l.fixDeadline(now, c)
 	}
 	l.balancer.BodySent(now, c.ID, attempt, c.Deadline)
 }
 
+// fixDeadline sets the deadline of a request whose streaming body was received completely. It counts from the last byte that the
+// client has sent, so only the first call has an effect: a retry sends that byte again, but the client waits no longer for it.
+func (l *Loop) fixDeadline(now time.Duration, c *Call) {
+	if c.ResponseTimeout <= 0 || c.isDeadlineFixed {
+		return
+	}
+	bodyReceivedAt := now
+	if upload := c.HTTPRequest.Upload; upload != nil {
+		if completedAt, isComplete := upload.CompletedAt(); isComplete {
+			bodyReceivedAt = l.At(completedAt)
+		}
+	}
+	c.Deadline, c.isDeadlineFixed = min(bodyReceivedAt+c.ResponseTimeout, c.StreamUntil), true
+}
+
+// attemptRequest returns the request as the next attempt forwards it, and the instant by which the attempt must end. Once the body was
+// received completely, the attempt gets only the time that is left of the request's deadline, and tells its endpoint so.
+func (l *Loop) attemptRequest(now time.Duration, c *Call) (request *upstream.Request, endsAt time.Duration) {
+	if upload := c.HTTPRequest.Upload; upload != nil && upload.IsComplete() {
+		l.fixDeadline(now, c)
+	}
+	if !c.isDeadlineFixed {
+		return c.HTTPRequest, max(c.Deadline, c.StreamUntil)
+	}
+	limited := *c.HTTPRequest
+	limited.ResponseTimeout = 0 // the deadline of the attempt's context applies
+	return &limited, c.Deadline
+}
+
 // handleStreamStarted handles the event that an attempt has received the beginning of a streaming response. It returns false if the
 // request is already finished. Otherwise the response is the reply, even if its stream breaks off later.
 func (l *Loop) handleStreamStarted(now time.Duration, c *Call, attempt int, response upstream.Response) bool {
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -43,8 +43,8 @@
 	HTTPRequest *upstream.Request
 	Replies     chan Reply // receives the request's only Reply; the channel needs a buffer of one, since the loop must not block
 
-	// ResponseTimeout is how long to wait for the response to a request with a streaming body, from the last byte of the body; 0
-	// means until the deadline.
+	// ResponseTimeout is how long to wait for the response to a request with a streaming body, from the last byte that its client
+	// sent; 0 means until the deadline.
 	ResponseTimeout time.Duration
 
 	// AcceptsRequests, if not nil, is called by Submit before the balancer decides on the request. If it returns false, the request is
@@ -64,6 +64,7 @@
 	lastResponse     upstream.Response    // response of the attempt that ended last; zero if it received none
 	cancelAttempts   []context.CancelFunc // cancel functions of all attempts, by the number of the attempt
 	attemptsInFlight int
+	isDeadlineFixed  bool // Deadline counts from the last byte of a streaming body, and does not change any more
 }
 
 // isClientConnected reports whether the client is still connected, as far as is known.
--- a/internal/eventloop/host.go
+++ b/internal/eventloop/host.go
@@ -23,7 +23,8 @@
 	}
 	outcome := balance.Outcome{ID: id, AttemptNumber: len(c.cancelAttempts), Endpoint: endpoint}
 	sentAt := h.clock.now()
-	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, max(c.Deadline, c.StreamUntil)-sentAt))
+	request, endsAt := h.attemptRequest(sentAt, c)
+	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, endsAt-sentAt))
 	c.cancelAttempts = append(c.cancelAttempts, cancel)
 	c.attemptsInFlight++
 	if c.isFinished.Load() {
@@ -34,7 +35,7 @@
 	hooks := h.attemptHooks(c, outcome.AttemptNumber)
 	go func() {
 		var response upstream.Response
-		outcome.Result, outcome.ReusedConnection, response = h.upstream.Attempt(ctx, endpoint, c.HTTPRequest, hooks)
+		outcome.Result, outcome.ReusedConnection, response = h.upstream.Attempt(ctx, endpoint, request, hooks)
 		cancel()
 		h.Post(func(now time.Duration) { h.handleAttemptEnded(now, c, outcome, sentAt, response) })
 	}()
