Sidecar: an older agreed version doesn't undo a later manual ejection

Cause: a version's ejections were applied without regard to commands of the daemon that are agreed on but not active yet.

Change: a daemon keeps the version of each of its commands until a version that includes it is active; earlier versions leave the endpoint as the command says. A version that includes the command decides, also if the daemon has skipped the versions in between.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -60,10 +60,7 @@
 // cluster that agrees on settings. It logs the command unless the endpoint's ID is unknown: anyone who can connect to the
 // admin address could fill the log with unknown IDs.
 func (s *Sidecar) setEjected(ctx context.Context, id string, isEjected bool) (string, error) {
-	outcome, err := s.overrides.setEjected(ctx, id, isEjected)
-	if err == nil {
-		outcome += s.cluster.proposeEjection(ctx, id, isEjected)
-	}
+	outcome, err := s.applyEjectionCommand(ctx, id, isEjected)
 	switch {
 	case errors.Is(err, errUnknownEndpoint):
 	case err != nil:
@@ -74,6 +71,24 @@
 	return outcome, err
 }
 
+// applyEjectionCommand applies an operator's command on this daemon and, if the cluster agrees on ejections, proposes it to the
+// cluster. While it is proposed, versions that the cluster agreed on before do not undo it.
+func (s *Sidecar) applyEjectionCommand(ctx context.Context, id string, isEjected bool) (string, error) {
+	if !s.cluster.hasConsensus() {
+		return s.overrides.setEjected(ctx, id, isEjected)
+	}
+	s.overrides.beginCommand(id)
+	version := uint64(0)
+	defer func() { s.overrides.finishCommand(id, version) }()
+	outcome, err := s.overrides.setEjected(ctx, id, isEjected)
+	if err != nil {
+		return outcome, err
+	}
+	var scope string
+	version, scope = s.cluster.proposeEjection(ctx, id, isEjected)
+	return outcome + scope, nil
+}
+
 // writeMetrics writes all metrics, one per line.
 func (s *Sidecar) writeMetrics(ctx context.Context, w io.Writer) error {
 	listed, avoided := s.overrides.countEndpoints(ctx)
--- a/internal/sidecar/cluster.go
+++ b/internal/sidecar/cluster.go
@@ -34,9 +34,9 @@
 	raft             *raftnode.Node              // consensus node; nil: the cluster does not agree on settings
 	ownFile          atomic.Pointer[config.File] // this daemon's own configuration file as last read
 	rejectedRequests atomic.Uint64               // number of requests rejected because this daemon had no valid lease
-	// agreedEjections are the IDs of the endpoints that the cluster had agreed to eject when this daemon last applied
-	// the agreed ejections. After the daemon's start only the goroutine of watchAgreement uses the field.
-	agreedEjections map[string]bool
+	// appliedEjections are the agreed ejections that this daemon has applied last. After the daemon's start only the goroutine of
+	// watchAgreement uses the field.
+	appliedEjections agreedEjections
 
 	mu sync.Mutex
 	// daemons is the number of daemons that share the endpoints, 0 until it is known; index is this daemon's position
--- a/internal/sidecar/overrides.go
+++ b/internal/sidecar/overrides.go
@@ -37,14 +37,15 @@
 	// before the first pool starts.
 	recentlyRestored []string
 
-	mu      sync.Mutex
-	ejected map[string]bool // IDs of the manually ejected endpoints
-	pools   map[*pool]bool  // running pools, to which ejections are applied
+	mu       sync.Mutex
+	ejected  map[string]bool  // IDs of the manually ejected endpoints
+	pools    map[*pool]bool   // running pools, to which ejections are applied
+	commands ejectionCommands // commands that the cluster has not activated yet; empty if the cluster does not agree on ejections
 }
 
 // newOverrides returns overrides without ejections and without a shared directory.
 func newOverrides() *overrides {
-	return &overrides{commandSlot: make(chan struct{}, 1), ejected: map[string]bool{}, pools: map[*pool]bool{}}
+	return &overrides{commandSlot: make(chan struct{}, 1), ejected: map[string]bool{}, pools: map[*pool]bool{}, commands: ejectionCommands{}}
 }
 
 // attach adopts the ejections that the processes sharing a directory have recorded there. It is called before the first
@@ -198,27 +199,6 @@
 	return id + " was not out"
 }
 
-// applyAgreed applies a change of the ejections that the cluster has agreed on: it ejects the endpoints that are only in
-// current, up to hotrestart.MaxEjections, and ends the ejection of those that are only in previous. It waits while another
-// change of the ejections is in progress. It returns current, or previous if ctx ended during that wait.
-func (o *overrides) applyAgreed(ctx context.Context, previous, current map[string]bool) map[string]bool {
-	if o.acquire(ctx) != nil {
-		return previous
-	}
-	defer o.release()
-	for _, ids := range []map[string]bool{previous, current} {
-		for id := range ids {
-			local := o.snapshot(id)
-			isUnchanged := previous[id] == current[id] || local.isEjected == current[id]
-			if isUnchanged || current[id] && local.ejectedCount >= hotrestart.MaxEjections {
-				continue
-			}
-			_ = o.apply(ctx, local.pools, id, current[id]) // fails only if ctx has ended, when the daemon shuts down
-		}
-	}
-	return current
-}
-
 // syncDirectory applies the ejections that other processes have recorded in the shared directory, and reports to them that
 // this process has descriptorCount open descriptors (see hotrestart.Directory.Poll). It returns the view of those processes
 // and how many descriptors they have reported as open. While another goroutine changes the ejections it only polls the
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -102,7 +102,7 @@
 		cached, _ := n.raft.Valid()
 		n.log.Warn("no lease granted yet; using the cached settings", "after", firstGrantTimeout, "version", cached.Version)
 	}
-	n.agreedEjections = o.applyAgreed(context.Background(), nil, n.ejectedIDs())
+	n.appliedEjections = o.applyAgreed(context.Background(), agreedEjections{}, n.agreedEjections())
 }
 
 // watchAgreement starts a goroutine that installs settings and ejections as the cluster agrees on them. The
@@ -120,7 +120,7 @@
 			case <-ctx.Done():
 				return
 			case <-n.raft.VersionChanged():
-				n.agreedEjections = s.overrides.applyAgreed(ctx, n.agreedEjections, n.ejectedIDs())
+				n.appliedEjections = s.overrides.applyAgreed(ctx, n.appliedEjections, n.agreedEjections())
 				if err := s.installAgreedSettings(); err != nil && !errors.Is(err, errShuttingDown) {
 					n.log.Error("what is agreed on is not taken up", "error", err)
 				}
@@ -146,26 +146,23 @@
 	return nil
 }
 
-// ejectedIDs returns the IDs of the endpoints that the cluster has agreed to eject. After the lease has expired it still
-// returns the last agreed set: at worst an endpoint stays ejected that could serve again.
-func (n *clusterNode) ejectedIDs() map[string]bool {
-	ejected := map[string]bool{}
+// agreedEjections returns the endpoints that the cluster has agreed to eject. After the lease has expired it still returns the last
+// agreed set: at worst an endpoint stays ejected that could serve again.
+func (n *clusterNode) agreedEjections() agreedEjections {
 	agreed, _ := n.raft.Valid()
+	ejections := agreedEjections{version: agreed.Version, ids: map[string]bool{}}
 	for name := range agreed.Docs {
 		if id, ok := strings.CutPrefix(name, config.EjectionPrefix); ok {
-			ejected[id] = true
+			ejections.ids[id] = true
 		}
 	}
-	return ejected
+	return ejections
 }
 
-// proposeEjection proposes to the cluster a manual ejection, or its end, that was applied on this daemon. It returns a
-// text to append to the response to the operator, and an empty text if the cluster does not agree on settings. Clients of
-// the admin address may match this text.
-func (n *clusterNode) proposeEjection(ctx context.Context, id string, isEjected bool) string {
-	if !n.hasConsensus() {
-		return ""
-	}
+// proposeEjection proposes to the cluster a manual ejection, or its end, that was applied on this daemon. It returns the version in
+// which the cluster has agreed on it, or 0, and a text to append to the response to the operator. Clients of the admin address
+// may match this text.
+func (n *clusterNode) proposeEjection(ctx context.Context, id string, isEjected bool) (uint64, string) {
 	c := consensus.Command{ProposedBy: n.spec.Name, AtUnixMilli: time.Now().UnixMilli()}
 	if isEjected {
 		c.Put = &consensus.DocumentPut{Name: config.EjectionPrefix + id}
@@ -174,7 +171,7 @@
 	}
 	version, err := n.raft.ProposeVersion(ctx, c)
 	if err != nil {
-		return fmt.Sprintf(" here; for the others: %v", err)
+		return 0, fmt.Sprintf(" here; for the others: %v", err)
 	}
-	return fmt.Sprintf(", on all daemons with version %d", version)
+	return version, fmt.Sprintf(", on all daemons with version %d", version)
 }
