Sidecar: an ejection of another process reaches pools that were busy

What callers saw: in a hot restart, requests to an endpoint that operators had taken out at the other process, until the next command about it.

--- a/internal/sidecar/overrides.go
+++ b/internal/sidecar/overrides.go
@@ -41,11 +41,19 @@
 	ejected  map[string]bool  // IDs of the manually ejected endpoints
 	pools    map[*pool]bool   // running pools, to which ejections are applied
 	commands ejectionCommands // commands that the cluster has not activated yet; empty if the cluster does not agree on ejections
+	// unapplied has, for each pool, the IDs of the endpoints whose latest change the pool's event loop has not confirmed.
+	unapplied map[*pool]map[string]bool
 }
 
 // newOverrides returns overrides without ejections and without a shared directory.
 func newOverrides() *overrides {
-	return &overrides{commandSlot: make(chan struct{}, 1), ejected: map[string]bool{}, pools: map[*pool]bool{}, commands: ejectionCommands{}}
+	return &overrides{
+		commandSlot: make(chan struct{}, 1),
+		ejected:     map[string]bool{},
+		pools:       map[*pool]bool{},
+		commands:    ejectionCommands{},
+		unapplied:   map[*pool]map[string]bool{},
+	}
 }
 
 // attach adopts the ejections that the processes sharing a directory have recorded there. It is called before the first
@@ -97,6 +105,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.pools, p)
+	delete(o.unapplied, p)
 }
 
 // ejectionState is what snapshot returns: whether one endpoint is manually ejected, how many are, and the running pools.
@@ -133,10 +142,62 @@
 }
 
 // apply records an ejection, or its end, and returns when the given pools have applied it. Recording comes first, so that
-// a pool that starts in the meantime applies it too.
+// a pool that starts in the meantime applies it too. If ctx ends first, apply returns an error; retryUnapplied then applies the
+// change to the pools that have not confirmed it.
 func (o *overrides) apply(ctx context.Context, pools []*pool, id string, isEjected bool) error {
 	o.record(id, isEjected)
-	return doOnPools(ctx, pools, func(l *eventloop.Loop, now time.Duration) { l.SetEjected(now, id, isEjected) })
+	var failure error
+	for _, p := range pools {
+		if err := o.applyToPool(ctx, p, id); err != nil {
+			failure = err
+		}
+	}
+	return failure
+}
+
+// applyToPool applies to a pool whether an endpoint is ejected now, and records whether the pool has confirmed it. The caller has
+// called acquire. A pool that has ended needs no change.
+func (o *overrides) applyToPool(ctx context.Context, p *pool, id string) error {
+	isEjected := o.snapshot(id).isEjected
+	err := p.loop.Do(ctx, func(now time.Duration) { p.loop.SetEjected(now, id, isEjected) })
+	if errors.Is(err, eventloop.ErrClosed) {
+		err = nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil:
+		delete(o.unapplied[p], id)
+	case o.pools[p] && o.unapplied[p] == nil:
+		o.unapplied[p] = map[string]bool{id: true}
+	case o.pools[p]:
+		o.unapplied[p][id] = true
+	}
+	if len(o.unapplied[p]) == 0 {
+		delete(o.unapplied, p)
+	}
+	return err
+}
+
+// unappliedChange is a change of an endpoint's ejection that a pool has not confirmed.
+type unappliedChange struct {
+	pool *pool
+	id   string
+}
+
+// retryUnapplied applies the changes that pools have not confirmed. The caller has called acquire.
+func (o *overrides) retryUnapplied(ctx context.Context) {
+	o.mu.Lock()
+	var changes []unappliedChange
+	for p, ids := range o.unapplied {
+		for id := range ids {
+			changes = append(changes, unappliedChange{p, id})
+		}
+	}
+	o.mu.Unlock()
+	for _, c := range changes {
+		_ = o.applyToPool(ctx, c.pool, c.id) // if it fails, the next call retries
+	}
 }
 
 // doOnPools lets the event loops of the pools handle an event, one loop after another. It skips pools that have ended.
@@ -222,13 +283,12 @@
 	state, view, othersDescriptors := o.directory.Poll(descriptorCount)
 	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 	defer cancel()
+	o.retryUnapplied(ctx)
 	isRecorded := make(map[string]bool, len(state.Ejections))
 	for _, e := range state.Ejections {
 		isRecorded[e.ID] = true
 		if local := o.snapshot(e.ID); local.isEjected != e.Ejected {
-			// Pools whose event loops are still busy after catchUpTimeout miss the change: o.apply has recorded the
-			// change, so later polls do not apply it again.
-			_ = o.apply(ctx, local.pools, e.ID, e.Ejected)
+			_ = o.apply(ctx, local.pools, e.ID, e.Ejected) // if it fails, a later poll applies it to the pools that were busy
 		}
 	}
 	for _, id := range o.ejectedIDs() {
--- a/internal/sidecar/overrides_test.go
+++ b/internal/sidecar/overrides_test.go
@@ -1,14 +1,21 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"tuliprock/balance"
 	"tuliprock/internal/config"
+	"tuliprock/internal/eventloop"
+	"tuliprock/internal/hotrestart"
 	"tuliprock/internal/testkit/testpeer"
+	"tuliprock/internal/upstream"
 )
 
 // A manually ejected endpoint gets no new request until the ejection ends.
@@ -133,3 +140,62 @@
 		t.Errorf("set-up of an endpoint that is neither listed nor ejected: response %q, want FAILURE", got)
 	}
 }
+
+// An ejection that another process has recorded must reach a pool whose event loop is busy when the directory is polled, and the pools
+// after it. It may not count as applied before: nothing would apply it again.
+func TestEjectionReachesPoolThatWasBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir, log := t.TempDir(), slog.New(slog.DiscardHandler)
+		var directories [2]*hotrestart.Directory
+		for i := range directories {
+			d, err := hotrestart.Join(dir, "n1", log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Close()
+			directories[i] = d
+		}
+		o := newOverrides()
+		o.attach(directories[0], nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var pools [2]*pool
+		for i := range pools {
+			loop := eventloop.New(eventloop.NewBalancer, balance.Settings{}, upstream.New(upstream.Options{}), nil, log)
+			pools[i] = &pool{loop: loop}
+			o.addPool(pools[i])
+			go loop.Run(ctx)
+		}
+		ejectedIn := func() (count int) {
+			for _, p := range pools {
+				_ = p.loop.Do(ctx, func(time.Duration) {
+					if p.loop.IsKnown("x") { // no endpoint is listed, so that only ejected ones are known
+						count++
+					}
+				})
+			}
+			return count
+		}
+		for _, isEjected := range []bool{true, false} {
+			idle := make(chan struct{})
+			for _, p := range pools {
+				p.loop.Post(func(time.Duration) { <-idle })
+			}
+			if err := directories[1].RecordEjection("x", isEjected, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			o.syncDirectory(hotrestart.KeepReportedDescriptors)
+			close(idle)
+			o.syncDirectory(hotrestart.KeepReportedDescriptors)
+			if got, want := ejectedIn(), map[bool]int{true: len(pools)}[isEjected]; got != want {
+				t.Errorf("x ejected %v by another process: it is ejected in %d pools, want %d", isEjected, got, want)
+			}
+		}
+		if len(o.unapplied) > 0 {
+			t.Errorf("changes %v are left, want none", o.unapplied)
+		}
+		cancel()
+		for _, p := range pools {
+			<-p.loop.Done()
+		}
+	})
+}
