Hot restart: a damaged or missing state file is restored by the running process

Cause: a successor began with an empty state, took the number of the running process and could not lock its live file; it went on without the directory. The running process waited for somebody else to replace the file.

Change: a running process writes the state that it knows again with its next poll; one that joins earlier takes the live processes from their live files. TestLastStateIsKeptUntilNextChangeIfFileIsDamaged required that the next change loses an ejection; in its place TestRunningProcessRestoresDamagedState requires that none is lost.

Measured: both new tests fail on the former code ("resource temporarily unavailable", no ejections); hotrestart and the tests of hot restart and ejections in sidecar pass with -race.

--- a/internal/hotrestart/directory.go
+++ b/internal/hotrestart/directory.go
@@ -24,8 +24,10 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -59,16 +61,18 @@
 	processNumber int      // number that Join assigned to this process
 	liveFile      *os.File // open file whose lock proves to other processes that this one lives
 
-	mu                   sync.Mutex  // guards lastState and the fields after it
-	lastState            State       // state that this process last read and parsed without an error
-	lastStateFileInfo    os.FileInfo // identity and modification time of the file that lastState was read from; nil until a state is read
+	// knownState is the state that this process last read or wrote; nil before both. A State that is stored here is not modified.
+	knownState atomic.Pointer[State]
+
+	mu                   sync.Mutex  // guards the fields below
+	lastStateFileInfo    os.FileInfo // identity and modification time of the state file that Poll last read; nil until a state is read
 	reportedDescriptors  int         // descriptor count that this process last wrote to its live file
 	lastReadErrorLogTime time.Time   // when an unreadable state was last logged
 }
 
 // Join adds this process, as the newest one, to the sidecar called name, whose files are in dir. If the existing state can't
-// be parsed, Join logs that, renames the file to end in .bad, and starts from an empty state. An error means that the
-// directory can't be used at all.
+// be parsed, Join logs that, renames the file to end in .bad, and starts from a state that has the live processes and no
+// ejections: those are known to the live processes. An error means that the directory can't be used at all.
 func Join(dir, name string, log *slog.Logger) (*Directory, error) {
 	d := &Directory{pathPrefix: filepath.Join(dir, "tuliprock-"+fileNamePart(name)), sidecarName: name, logger: log}
 	err := d.updateState(func(s *State) error {
@@ -111,30 +115,40 @@
 	})
 }
 
-// Poll returns the latest state that could be read, this process's view of it, and the total number of descriptors that the
-// other live processes report. It reports to them that this process uses ownDescriptors, or leaves the last report unchanged
+// Poll returns the latest state, this process's view of it, and the total number of descriptors that the other live processes
+// report. If the state file is damaged or missing, Poll restores it from what this process knows. It reports to them that this process uses ownDescriptors, or leaves the last report unchanged
 // if ownDescriptors is KeepReportedDescriptors.
 func (d *Directory) Poll(ownDescriptors int) (s State, v View, othersDescriptors int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.reportDescriptors(ownDescriptors)
-	if err := d.reloadChangedState(); err != nil && time.Since(d.lastReadErrorLogTime) > readErrorLogInterval {
-		d.lastReadErrorLogTime = time.Now()
-		d.logger.Error("hot restart state can't be read", "error", err) // the file remains until a process changes the state, which renames an invalid file to end in .bad
+	if err := d.reloadChangedState(); err != nil {
+		d.restoreState(err)
 	}
-	v = d.lastState.View(d.processNumber, d.isProcessAlive)
+	s = *d.knownState.Load() // Join has written a state
+	v = s.View(d.processNumber, d.isProcessAlive)
 	for _, number := range v.Others {
 		othersDescriptors += d.readReportedDescriptors(number)
 	}
-	return d.lastState, v, othersDescriptors
+	return s, v, othersDescriptors
+}
+
+// restoreState writes the state again from what this process knows, because of an error of reading it. If that fails, it logs both
+// errors, but not with every poll. d.mu must be held.
+func (d *Directory) restoreState(readErr error) {
+	err := d.updateState(func(*State) error { return nil })
+	if err != nil && time.Since(d.lastReadErrorLogTime) > readErrorLogInterval {
+		d.lastReadErrorLogTime = time.Now()
+		d.logger.Error("hot restart state can't be read or restored", "error", errors.Join(readErr, err))
+	}
 }
 
-// reloadChangedState reads the state into lastState if the state file has been replaced since the last read. If reading or
-// parsing fails, lastState stays unchanged. d.mu must be held.
+// reloadChangedState reads the state into knownState if the state file has been replaced since the last read. If reading or
+// parsing fails, knownState stays unchanged. d.mu must be held.
 func (d *Directory) reloadChangedState() error {
 	info, err := os.Stat(d.statePath())
-	if err != nil { // no process has written a state yet, or an invalid state file was just renamed and is not replaced yet
-		return nil
+	if err != nil {
+		return err
 	}
 	if d.lastStateFileInfo != nil && os.SameFile(info, d.lastStateFileInfo) && info.ModTime().Equal(d.lastStateFileInfo.ModTime()) {
 		return nil
@@ -147,7 +161,8 @@
 	if err != nil {
 		return err
 	}
-	d.lastState, d.lastStateFileInfo = s, info
+	d.knownState.Store(&s)
+	d.lastStateFileInfo = info
 	return nil
 }
 
@@ -174,7 +189,11 @@
 	if err := os.WriteFile(newPath, text, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(newPath, d.statePath())
+	if err := os.Rename(newPath, d.statePath()); err != nil {
+		return err
+	}
+	d.knownState.Store(&s)
+	return nil
 }
 
 // acquireLock locks the state against other processes and against concurrent calls in this process. The caller releases the
@@ -196,14 +215,13 @@
 	}
 }
 
-// readState reads and parses the shared state. It returns an empty state if there is no file, and also if the file can't be
-// parsed, which it then renames to end in .bad. The caller must hold the lock.
+// readState reads and parses the shared state. If there is no file, or if the file can't be parsed, it returns a rebuilt state. It
+// renames a file that can't be parsed to end in .bad. The caller must hold the lock.
 func (d *Directory) readState() (State, error) {
-	emptyState := State{Format: stateFormat, Name: d.sidecarName}
 	text, err := readBoundedFile(d.statePath())
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		return emptyState, nil
+		return d.rebuiltState(), nil
 	case err != nil:
 		return State{}, err
 	}
@@ -211,11 +229,26 @@
 	if err != nil {
 		badPath := d.statePath() + ".bad"
 		d.logger.Error("hot restart state is damaged and is set aside", "file", badPath, "error", err)
-		return emptyState, os.Rename(d.statePath(), badPath)
+		return d.rebuiltState(), os.Rename(d.statePath(), badPath)
 	}
 	return s, nil
 }
 
+// rebuiltState returns the state that this process knows or, if it knows none yet, one with the live processes and no ejections. A
+// process that joins then gets a number that no live process has.
+func (d *Directory) rebuiltState() State {
+	if known := d.knownState.Load(); known != nil {
+		s := *known
+		s.Processes, s.Ejections = slices.Clone(s.Processes), slices.Clone(s.Ejections)
+		return s
+	}
+	s := State{Format: stateFormat, Name: d.sidecarName}
+	for _, number := range d.liveProcessNumbers() {
+		s.Processes = append(s.Processes, Process{Number: number})
+	}
+	return s
+}
+
 // statePath returns the path of the file that holds the shared State.
 func (d *Directory) statePath() string { return d.pathPrefix + ".state" }
 
--- a/internal/hotrestart/directory_test.go
+++ b/internal/hotrestart/directory_test.go
@@ -178,24 +178,76 @@
 	}
 }
 
-func TestLastStateIsKeptUntilNextChangeIfFileIsDamaged(t *testing.T) {
-	dir := t.TempDir()
-	d := joinSidecar(t, dir)
-	if err := d.RecordEjection("s-1", true, time.Now()); err != nil {
-		t.Fatal(err)
+// damageState replaces the state file by one that can't be parsed, or removes it.
+func damageState(t *testing.T, dir string, isRemoved bool) {
+	t.Helper()
+	path := filepath.Join(dir, "tuliprock-n1.state")
+	err := os.WriteFile(path, []byte("{"), 0o600)
+	if isRemoved {
+		err = os.Remove(path)
 	}
-	d.Poll(KeepReportedDescriptors)
-	if err := os.WriteFile(filepath.Join(dir, "tuliprock-n1.state"), []byte("{"), 0o600); err != nil {
+	if err != nil {
 		t.Fatal(err)
 	}
-	if s, _, _ := d.Poll(KeepReportedDescriptors); len(s.Ejections) != 1 {
-		t.Errorf("after the damage: ejections %v, want that of s-1", s.Ejections)
-	}
-	if err := d.RecordEjection("s-2", true, time.Now()); err != nil {
-		t.Fatal(err)
+}
+
+// A running process knows the state, so a damaged file loses nothing: the process restores it with its next poll, and a process that
+// joins meanwhile gets a number of its own.
+func TestRunningProcessRestoresDamagedState(t *testing.T) {
+	for name, isRemoved := range map[string]bool{"truncated": false, "removed": true} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			d := joinSidecar(t, dir)
+			for _, id := range []string{"s-1", "s-2"} {
+				if err := d.RecordEjection(id, true, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := d.SetReady(true); err != nil {
+				t.Fatal(err)
+			}
+			damageState(t, dir, isRemoved)
+			if s, _, _ := d.Poll(KeepReportedDescriptors); len(s.Ejections) != 2 {
+				t.Errorf("after the damage: ejections %v, want those of s-1 and s-2", s.Ejections)
+			}
+			next := joinSidecar(t, dir)
+			if s, v, _ := next.Poll(KeepReportedDescriptors); len(s.Ejections) != 2 || len(v.Others) != 1 || !s.Processes[0].Ready || next.Number() != 2 {
+				t.Errorf("process %d joins state %+v and sees the others %v, want number 2, both ejections and process 1, which is ready", next.Number(), s, v.Others)
+			}
+			damageState(t, dir, isRemoved)
+			if err := d.RecordEjection("s-3", true, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			if s, _, _ := next.Poll(KeepReportedDescriptors); len(s.Ejections) != 3 {
+				t.Errorf("after damage and the next change: ejections %v, want those of s-1, s-2 and s-3", s.Ejections)
+			}
+		})
 	}
-	if s, _, _ := d.Poll(KeepReportedDescriptors); len(s.Ejections) != 1 || s.Ejections[0].ID != "s-2" {
-		t.Errorf("after the next change: ejections %v, want that of s-2 alone", s.Ejections)
+}
+
+// A process that joins before a running one has restored the state must not take that one's number: it could not lock its live file,
+// and would go on without hot restart and without the ejections.
+func TestProcessJoinsDamagedStateBesideRunningOne(t *testing.T) {
+	for name, isRemoved := range map[string]bool{"truncated": false, "removed": true} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			first := joinSidecar(t, dir)
+			second := joinSidecar(t, dir)
+			if err := first.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if err := second.SetReady(true); err != nil {
+				t.Fatal(err)
+			}
+			damageState(t, dir, isRemoved)
+			third := joinSidecar(t, dir)
+			if _, v, _ := third.Poll(KeepReportedDescriptors); third.Number() != 3 || len(v.Others) != 1 || v.Others[0] != 2 {
+				t.Errorf("process %d sees the others %v, want number 3 and process 2", third.Number(), v.Others)
+			}
+			if _, v, _ := second.Poll(KeepReportedDescriptors); v.IsReady || len(v.Others) != 1 {
+				t.Errorf("process 2 is shown the view %+v, want process 3, and that its readiness is to be recorded again", v)
+			}
+		})
 	}
 }
 
--- a/internal/hotrestart/livefile.go
+++ b/internal/hotrestart/livefile.go
@@ -4,15 +4,38 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
 	"golang.org/x/sys/unix"
 )
 
+// liveFileSuffix is the end of the names of live files.
+const liveFileSuffix = ".live"
+
 // liveFilePath returns the path of the live file of the process with this number.
 func (d *Directory) liveFilePath(number int) string {
-	return fmt.Sprintf("%s.%d.live", d.pathPrefix, number)
+	return fmt.Sprintf("%s.%d%s", d.pathPrefix, number, liveFileSuffix)
+}
+
+// liveProcessNumbers returns the numbers of the live processes by their live files, in ascending order and at most the greatest
+// maxProcesses of them. It returns none if the directory can't be listed.
+func (d *Directory) liveProcessNumbers() (numbers []int) {
+	entries, err := os.ReadDir(filepath.Dir(d.pathPrefix))
+	if err != nil {
+		return nil
+	}
+	for _, entry := range entries {
+		text, hasPrefix := strings.CutPrefix(entry.Name(), filepath.Base(d.pathPrefix)+".")
+		text, hasSuffix := strings.CutSuffix(text, liveFileSuffix)
+		if number, err := strconv.Atoi(text); hasPrefix && hasSuffix && err == nil && number > 0 && d.isProcessAlive(number) {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers[max(len(numbers)-maxProcesses, 0):]
 }
 
 // createLiveFile creates the live file of this process and locks it. The lock lasts until the process ends or calls Close.
--- a/internal/hotrestart/state.go
+++ b/internal/hotrestart/state.go
@@ -95,13 +95,18 @@
 type View struct {
 	Superseded bool  // whether a live process accepts connections that is newer than the one that the View is for
 	Others     []int // numbers of the other live processes, in ascending order
+	IsReady    bool  // whether the State records that the process that the View is for accepts connections
 }
 
 // View returns the View of the process with this number. isAlive is called for the other processes only.
 func (s State) View(number int, isAlive func(number int) bool) View {
 	var v View
 	for _, p := range s.Processes {
-		if p.Number != number && isAlive(p.Number) {
+		if p.Number == number {
+			v.IsReady = p.Ready
+			continue
+		}
+		if isAlive(p.Number) {
 			v.Others = append(v.Others, p.Number)
 			v.Superseded = v.Superseded || p.Number > number && p.Ready
 		}
--- a/internal/sidecar/hotrestart.go
+++ b/internal/sidecar/hotrestart.go
@@ -97,6 +97,7 @@
 	usage := r.sidecar.usage()
 	view, othersDescriptors := r.sidecar.overrides.syncDirectory(usage.descriptors)
 	r.applyLimits(view, othersDescriptors)
+	r.restoreReadiness(view)
 	if r.isShuttingDown || !r.lifecycle.Update(time.Since(r.startedAt), view, usage.hasEndpointLists, usage.clientConnections) {
 		return
 	}
@@ -118,6 +119,17 @@
 	}
 }
 
+// restoreReadiness records again that this process takes clients, if the shared state was damaged and does not say so any more. A
+// process that has drained for this one would otherwise take clients again.
+func (r *hotRestart) restoreReadiness(view hotrestart.View) {
+	if r.isShuttingDown || view.IsReady || r.lifecycle.Phase() != hotrestart.Serving {
+		return
+	}
+	if err := r.directory.SetReady(true); err != nil {
+		r.log.Error("readiness could not be recorded", "error", err)
+	}
+}
+
 // applyLimits sets this process's part of the descriptors and of the memory that all processes of the sidecar share.
 // othersDescriptors is how many descriptors the other processes have reported as open.
 func (r *hotRestart) applyLimits(view hotrestart.View, othersDescriptors int) {
