Balance: a request whose retry could come after its deduplication window fails

What callers saw: 503, which promises that trying again is harmless, for a request that may have run and whose duplicates endpoints no longer drop.

Cause: canReject looked at the class, not at the age of the attempts.

Change: such a request is refused only if the client's retry, after the longest Retry-After, falls into the window of each attempt that may have run. jitter's bounds have names; its results are the same.

Measured: TestRequestFailsWhenItsRetryWouldComeAfterTheDedupWindow: two of five rows failed before. balance passes.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -86,7 +86,7 @@
 		// The request counts as admitted: it is within the concurrency limit, but no endpoint could take it.
 		b.admittedCounter.add(now)
 	}
-	if req.canReject() {
+	if b.canReject(now, req) {
 		b.host.Reject(req.ID, min(b.jitter(meanRetryAfter), b.settings.MaxRetryAfter))
 	} else {
 		b.host.Fail(req.ID)
@@ -95,10 +95,21 @@
 }
 
 // canReject reports whether a retry by the client is harmless: either no attempt can have run, or the body is
-// buffered and the request is idempotent or has an idempotency key by which all endpoints drop duplicates.
-func (r *request) canReject() bool {
-	c := r.class
-	mayRunTwice := c.Idempotency == Idempotent || c.Idempotency == IdempotencyKey && c.DedupScope == ScopeAll
-	return mayRunTwice && r.StreamUntil == 0 ||
-		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.inFlight || a.mayHaveRun })
+// buffered and the request is idempotent, or has an idempotency key by which all endpoints still drop
+// duplicates when the client retries.
+func (b *Balancer) canReject(now time.Duration, req *request) bool {
+	c := req.class
+	isHarmless := req.StreamUntil == 0 &&
+		(c.Idempotency == Idempotent || c.Idempotency == IdempotencyKey && c.DedupScope == ScopeAll)
+	return !slices.ContainsFunc(req.attempts, func(a attempt) bool {
+		return (a.inFlight || a.mayHaveRun) && !(isHarmless && b.dropsClientRetry(now, c, &a))
+	})
+}
+
+// dropsClientRetry reports whether, after an attempt that may have run, endpoints drop the client's retry as
+// a duplicate, or may run it again. The client retries after the Retry-After of the rejection.
+func (b *Balancer) dropsClientRetry(now time.Duration, c *class, att *attempt) bool {
+	maxRetryAfter := min(time.Duration(maxJitter*float64(meanRetryAfter)), b.settings.MaxRetryAfter)
+	retriedAt := now + maxRetryAfter + 2*b.settings.TimerResolution
+	return c.Idempotency == Idempotent || retriedAt < att.sentAt+c.DedupWindow
 }
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -71,3 +71,37 @@
 		t.Errorf("%d of 30 requests were retried, want at least 10", retriedCount)
 	}
 }
+
+// A rejection promises that the client's retry is harmless. Where an attempt may have run, endpoints must still drop the retry as a
+// duplicate when it comes, after the Retry-After: otherwise the request fails.
+func TestRequestFailsWhenItsRetryWouldComeAfterTheDedupWindow(t *testing.T) {
+	const dedupWindow, maxRetryAfter = time.Second, 2 * time.Second
+	for _, row := range []struct {
+		name        string
+		idempotency balance.Idempotency
+		failsAfter  time.Duration // time from the attempt to its failure
+		result      balance.Result
+		want        string // the final response
+	}{
+		{"well within the window", balance.IdempotencyKey, 100 * ms, balance.ErrorResponse, "reject "},
+		{"within the window, which ends before the retry", balance.IdempotencyKey, dedupWindow - 10*ms, balance.ErrorResponse, "fail "},
+		{"after the window", balance.IdempotencyKey, dedupWindow + 10*ms, balance.ErrorResponse, "fail "},
+		{"after the window, but it can't have run", balance.IdempotencyKey, dedupWindow + 10*ms, balance.ConnectFailed, "reject "},
+		{"idempotent without a window", balance.Idempotent, dedupWindow + 10*ms, balance.ErrorResponse, "reject "},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := defaultSettings()
+			s.MaxAttempts, s.MaxRetryAfter = 1, maxRetryAfter
+			s.Classes = append(s.Classes, balance.Class{Name: "order", Idempotency: row.idempotency, DedupScope: balance.ScopeAll,
+				DedupWindow: dedupWindow, LatencyObjective: 2 * time.Second})
+			h := newHarness(t, s, "a")
+			h.serve(10, map[string]time.Duration{"a": 50 * ms})
+			id, _ := h.request("order")
+			h.advance(row.failsAfter)
+			h.finish(id, row.result)
+			if last := h.actions[len(h.actions)-1]; last != row.want+id {
+				t.Errorf("last action is %q, want %q", last, row.want+id)
+			}
+		})
+	}
+}
--- a/balance/timers.go
+++ b/balance/timers.go
@@ -42,10 +42,16 @@
 	}
 }
 
-// jitter returns a random duration between 0.75 and 1.25 times d, so that balancers with the same events do
-// not act at the same instant.
+// Bounds of the results of Balancer.jitter, as multiples of the mean.
+const (
+	minJitter = 0.75
+	maxJitter = 1.25
+)
+
+// jitter returns a random duration between minJitter and maxJitter times d, so that balancers with the same
+// events do not act at the same instant.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.75 + 0.5*b.rng.Float64()))
+	return time.Duration(float64(d) * (minJitter + (maxJitter-minJitter)*b.rng.Float64()))
 }
 
 // seconds converts a number of seconds to a duration.
