Upstream: a spliced response moves its client's deadline with what the client receives

Cause: up to 1 MiB was spliced under one write deadline, set before; a client that took longer than flow_idle for it counted as silent.

Change: while a part is spliced the deadline moves on with the bytes that the client's kernel acknowledges. Which deadline has passed is read from the write deadline, so Meter.MinWait is gone; its test checks the waits themselves.

--- a/internal/body/minimum_rate.go
+++ b/internal/body/minimum_rate.go
@@ -37,12 +37,6 @@
 // much as transferring a small part of a body.
 const deadlineSlackDivisor = 8
 
-// MinWait returns the shortest wait for the peer that the result of Deadline allows. It is shorter than MaxWait, because
-// Deadline may return its previous result, which is up to MaxWait/deadlineSlackDivisor earlier than a new deadline.
-func (m *Meter) MinWait() time.Duration {
-	return m.MaxWait() - m.MaxWait()/deadlineSlackDivisor
-}
-
 // Deadline returns when a wait that begins now must end. changed is false if the deadline returned by the previous call is
 // still close enough and need not be set again.
 func (m *Meter) Deadline(now time.Time) (at time.Time, changed bool) {
--- a/internal/body/minimum_rate_test.go
+++ b/internal/body/minimum_rate_test.go
@@ -42,13 +42,10 @@
 }
 
 // Deadline returns a new deadline only when the previous one is too early by more than an eighth of MaxWait. So every deadline
-// allows a wait of at least MinWait.
+// allows a wait of at least seven eighths of MaxWait.
 func TestMeterKeepsDeadlineThatIsCloseEnough(t *testing.T) {
 	const idleTimeout = 8 * time.Second
 	m := NewMeter(MinimumRate{IdleTimeout: idleTimeout})
-	if got, want := m.MinWait(), 7*time.Second; got != want {
-		t.Errorf("MinWait is %v, want %v", got, want)
-	}
 	start := time.Now()
 	for _, row := range []struct {
 		after   time.Duration // time from the start of the test to the call of Deadline
@@ -62,5 +59,8 @@
 		if at, changed := m.Deadline(start.Add(row.after)); at.Sub(start) != row.at || changed != row.changed {
 			t.Errorf("after %v: deadline at %v, changed %v, want %v, %v", row.after, at.Sub(start), changed, row.at, row.changed)
 		}
+		if at, _ := m.Deadline(start.Add(row.after)); at.Sub(start)-row.after < 7*time.Second {
+			t.Errorf("after %v: the deadline allows a wait of %v, want 7s at least", row.after, at.Sub(start)-row.after)
+		}
 	}
 }
--- a/internal/upstream/splice.go
+++ b/internal/upstream/splice.go
@@ -18,8 +18,8 @@
 
 // Splice copies a part of the body to a client's connection inside the kernel (splice(2), which net.TCPConn.ReadFrom uses) and
 // returns its length in bytes. 0 means that the next part must be read with Next. Splice waits for the endpoint for at most
-// 100 ms, and leaves it to Next to detect an endpoint below its minimum rate. clientMeter is the meter of the client, and Splice
-// sets the client's write deadline from it; body.ErrTooSlow means that the client is too slow.
+// 100 ms, and leaves it to Next to detect an endpoint below its minimum rate. clientMeter is the meter of the client, whose progress
+// Splice records in it while the part is written; body.ErrTooSlow means that the client is too slow.
 func (s *Stream) Splice(to *net.TCPConn, clientMeter *body.Meter) (n int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,27 +28,26 @@
 		return 0, nil
 	}
 	startedAt := time.Now()
-	_ = endpointConn.SetReadDeadline(startedAt.Add(spliceReadTimeout))
-	if deadline, changed := clientMeter.Deadline(startedAt); changed {
-		if err := to.SetWriteDeadline(deadline); err != nil {
-			return 0, err
-		}
+	readDeadline := startedAt.Add(spliceReadTimeout)
+	_ = endpointConn.SetReadDeadline(readDeadline)
+	progress, err := watchClientProgress(to, clientMeter, startedAt, readDeadline)
+	if err != nil {
+		return 0, err
 	}
 	size := min(s.Length-s.receivedBytes, maxSpliceBytes)
 	n, err = to.ReadFrom(&io.LimitedReader{R: endpointConn, N: size})
-	duration := time.Since(startedAt)
+	writeDeadlinePassed := progress.stop(n)
 	s.receivedBytes += n
 	switch {
 	case err == nil && n < size:
 		s.err = io.ErrUnexpectedEOF
 	case err == nil:
-		clientMeter.Record(int(n), duration)
 		s.meter.Record(int(n), 0)
-	case errors.Is(err, os.ErrDeadlineExceeded) && duration < clientMeter.MinWait(): // the endpoint's read deadline has passed, since the client's write deadline is later
+	case errors.Is(err, os.ErrDeadlineExceeded) && writeDeadlinePassed:
+		return n, body.ErrTooSlow // bytes that were taken from the endpoint may be lost, so the body can't go on
+	case errors.Is(err, os.ErrDeadlineExceeded): // the endpoint's read deadline has passed
 		s.meter.Record(int(n), spliceReadTimeout)
 		err = nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return n, body.ErrTooSlow
 	default:
 		s.err = err
 	}
