--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -92,10 +92,12 @@
 	return outcomeByVerdict[reply.Verdict]
 }
 
-// retryAfterValue returns the value of a Retry-After header. Whole seconds are rounded up, so that clients don't retry too early.
+// retryAfterValue returns the value of a Retry-After header, in whole seconds or in milliseconds. It is rounded up, so that clients
+// don't retry too early.
 func (s *Server) retryAfterValue(retryAfter time.Duration) string {
 	if s.options.FractionalRetryAfter {
-		return strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
+		milliseconds := (retryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
+		return strconv.FormatFloat(milliseconds.Seconds(), 'f', 3, 64)
 	}
 	return strconv.Itoa(int(math.Ceil(retryAfter.Seconds())))
 }
--- a/internal/frontend/response_test.go
+++ b/internal/frontend/response_test.go
@@ -7,6 +7,8 @@
 
 func TestRetryAfterIsNeverRoundedDown(t *testing.T) {
 	for retryAfter, want := range map[time.Duration]struct{ wholeSeconds, fractions string }{
+		time.Nanosecond:         {"1", "0.001"},
+		1400 * time.Microsecond: {"1", "0.002"},
 		300 * time.Millisecond:  {"1", "0.300"},
 		time.Second:             {"1", "1.000"},
 		1001 * time.Millisecond: {"2", "1.001"},
