--- a/internal/frontend/arrival_test.go
+++ b/internal/frontend/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -54,3 +55,24 @@
 		t.Error("observeRequest returned false for a request after a pause of a minute, want true")
 	}
 }
+
+// A request may have waited in its socket while the process was stopped. If its client has reset the connection meanwhile, the client has
+// left, as if it had closed it.
+func TestClientThatResetItsConnectionHasDisconnected(t *testing.T) {
+	idle := acceptIdleConn(t)
+	r, err := http.NewRequestWithContext(withConn(t.Context(), idle.conn), http.MethodGet, "/look", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, isDisconnected := sinceLastReceive(r); isDisconnected {
+		t.Error("the client counts as disconnected, though its connection is open")
+	}
+	if err := idle.client.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	idle.client.Close() // sends a reset
+	testpeer.Eventually(t, "the client counts as disconnected", func() bool {
+		_, isDisconnected := sinceLastReceive(r)
+		return isDisconnected
+	})
+}
--- a/internal/frontend/disconnect.go
+++ b/internal/frontend/disconnect.go
@@ -20,7 +20,7 @@
 	switch tcpInfo, err := requestTCPInfo(r); {
 	case errors.Is(err, net.ErrClosed):
 		return false
-	case err == nil && (tcpInfo.State == stateCloseWait || tcpInfo.State == stateClose):
+	case err == nil && hasPeerLeft(tcpInfo):
 		return false
 	}
 	return r.Context().Err() == nil
@@ -32,6 +32,11 @@
 	stateCloseWait = 8 // TCP_CLOSE_WAIT: the peer has closed its sending side
 )
 
+// hasPeerLeft reports whether a connection's peer has closed its sending side or reset the connection.
+func hasPeerLeft(tcpInfo *unix.TCPInfo) bool {
+	return tcpInfo.State == stateCloseWait || tcpInfo.State == stateClose
+}
+
 // errNoTCPInfo is returned for a connection that is not a socket.
 var errNoTCPInfo = errors.New("the connection has no TCP_INFO")
 
