Raft node: a voter that has learned that its disk is lost still answers the others

What callers saw: nothing but a missing log line: of several initial voters without their disks, the last ones waited for the votes of those that had already learned of the loss, and never logged that they don't vote.

Change: such a voter votes that it has not begun, and reports that the cluster exists, so that nobody bootstraps it.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -99,16 +99,16 @@
 // duplicates when the client retries.
 func (b *Balancer) canReject(now time.Duration, req *request) bool {
 	c := req.class
-	isHarmless := req.StreamUntil == 0 &&
+	canRunTwice := req.StreamUntil == 0 &&
 		(c.Idempotency == Idempotent || c.Idempotency == IdempotencyKey && c.DedupScope == ScopeAll)
 	return !slices.ContainsFunc(req.attempts, func(a attempt) bool {
-		return (a.inFlight || a.mayHaveRun) && !(isHarmless && b.dropsClientRetry(now, c, &a))
+		return (a.inFlight || a.mayHaveRun) && (!canRunTwice || !b.isClientRetryHarmless(now, c, &a))
 	})
 }
 
-// dropsClientRetry reports whether, after an attempt that may have run, endpoints drop the client's retry as
-// a duplicate, or may run it again. The client retries after the Retry-After of the rejection.
-func (b *Balancer) dropsClientRetry(now time.Duration, c *class, att *attempt) bool {
+// isClientRetryHarmless reports whether, after an attempt that may have run, endpoints drop the client's
+// retry as a duplicate, or may run it again. The client retries after the Retry-After of the rejection.
+func (b *Balancer) isClientRetryHarmless(now time.Duration, c *class, att *attempt) bool {
 	maxRetryAfter := min(time.Duration(maxJitter*float64(meanRetryAfter)), b.settings.MaxRetryAfter)
 	retriedAt := now + maxRetryAfter + 2*b.settings.TimerResolution
 	return c.Idempotency == Idempotent || retriedAt < att.sentAt+c.DedupWindow
--- a/internal/cluster/raftnode/bootstrap.go
+++ b/internal/cluster/raftnode/bootstrap.go
@@ -110,14 +110,16 @@
 		answer.Vote = *n.bootstrapVote
 	case n.bootstrap != nil:
 		answer.Vote = n.bootstrap.Vote()
+	case n.isDiskLossLogged: // the other initial voters may still wait for this vote to learn that their disks are lost, too
+		answer.Vote = consensus.BootstrapVote{DiskID: n.diskID}
 	}
 	return answer
 }
 
-// knowsCluster reports whether this daemon knows that the cluster was bootstrapped: it has a log, a leader has granted it a lease, or
-// it has a cached version.
+// knowsCluster reports whether this daemon knows that the cluster was bootstrapped: it has a log, a leader has granted it a lease, it
+// has a cached version, or its voter's disk is lost.
 func (n *Node) knowsCluster() bool {
-	return n.localVoter != nil || len(n.leaseClient.activeVoters) > 0 || len(n.cachedEntry.Voters) > 0
+	return n.localVoter != nil || n.isDiskLossLogged || len(n.leaseClient.activeVoters) > 0 || len(n.cachedEntry.Voters) > 0
 }
 
 // decideBootstrap ends the bootstrap if the votes and reports allow a decision: either this daemon creates its log and starts
--- a/internal/cluster/raftnode/founding.go
+++ b/internal/cluster/raftnode/founding.go
@@ -132,7 +132,7 @@
 		return
 	}
 	v.founding = id
-	if err := v.identity.write(n.options.Disk); err != nil {
+	if err := v.write(n.options.Disk); err != nil {
 		n.options.Log.Warn("identity file not completed", "error", err) // the daemon learns the id again after its next start
 	}
 }
--- a/internal/cluster/raftnode/founding_test.go
+++ b/internal/cluster/raftnode/founding_test.go
@@ -152,3 +152,20 @@
 		t.Errorf("stored identity %+v, error %v, id %q, want %q", stored, err, n.foundingID(), founding1)
 	}
 }
+
+// Initial voters without their disks learn of the loss one after another. One that has learned of it must still answer the others, or they
+// would wait for its vote for ever.
+func TestInitialVoterWithLostDiskStillAnswersTheOthers(t *testing.T) {
+	n := &Node{options: Options{Name: "a", InitialVoters: []string{"a", "b"}, Disk: simdisk.New(), Log: discardLog}, diskID: "1"}
+	n.bootstrap = &bootstrap{Bootstrap: consensus.NewBootstrap("a", "1", n.options.InitialVoters)}
+	vote := consensus.BootstrapVote{DiskID: "2"}
+	for range 2 { // the loss is concluded in the round after the report that the cluster exists
+		round := n.bootstrap.StartRound(nil, 0)
+		n.bootstrap.ReceiveReport("d", round, consensus.ClusterReport{Exists: true})
+		n.bootstrap.ReceiveVote("b", round, vote)
+	}
+	n.decideBootstrap(0)
+	if answer := n.bootstrapAnswer(7); n.bootstrap != nil || answer.Vote.DiskID != "1" || answer.Vote.HasBegun || !answer.Cluster.Exists {
+		t.Errorf("answer %+v with the report %+v, want the vote of disk 1, not begun, and that the cluster exists", answer, answer.Cluster)
+	}
+}
--- a/internal/cluster/raftnode/identity.go
+++ b/internal/cluster/raftnode/identity.go
@@ -18,8 +18,9 @@
 )
 
 // identity says which voter of which cluster owns a data directory. It is stored in a file (identityFile) beside the
-// durable log. The file is written once, but that learnFounding may complete it. The identity of an initial voter has the names of all initial voters, from
-// which their raft ids follow; the identity of a voter that was added later has its assigned raft id and the cluster's id.
+// durable log. The file is written once; learnFounding may complete it. The identity of an initial voter has the names of all
+// initial voters, from which their raft ids follow; the identity of a voter that was added later has its assigned raft id and the
+// cluster's id.
 type identity struct {
 	name          string            // name of the daemon that runs the voter
 	initialVoters []string          // names of the cluster's initial voters, sorted; empty: this voter was added later
--- a/internal/hotrestart/directory.go
+++ b/internal/hotrestart/directory.go
@@ -116,8 +116,8 @@
 }
 
 // Poll returns the latest state, this process's view of it, and the total number of descriptors that the other live processes
-// report. If the state file is damaged or missing, Poll restores it from what this process knows. It reports to them that this process uses ownDescriptors, or leaves the last report unchanged
-// if ownDescriptors is KeepReportedDescriptors.
+// report. If the state file is damaged or missing, Poll restores it from what this process knows. It reports to the others that this
+// process uses ownDescriptors, or leaves the last report unchanged if ownDescriptors is KeepReportedDescriptors.
 func (d *Directory) Poll(ownDescriptors int) (s State, v View, othersDescriptors int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/sidecar/overrides.go
+++ b/internal/sidecar/overrides.go
@@ -221,6 +221,8 @@
 	defer o.release()
 	if o.directory != nil {
 		o.applyDirectory(hotrestart.KeepReportedDescriptors)
+	} else {
+		o.retryUnapplied(ctx)
 	}
 	stateBefore := o.snapshot(id)
 	isKnown := stateBefore.isEjected
