Sidecar: a command that is rejected doesn't hide an agreed ejection

Found by reading the change once more: a command counted as begun before it was checked. Had an agreed version become active in that time and the command then been rejected, as for an endpoint that is not listed yet, that version's ejection would never have been applied here.

Change: the command begins under the same lock as applyAgreed, right before it takes effect, and is finished at once if it fails. One path with and without agreement.

Measured: TestRejectedCommandDoesNotHideAgreedEjection is new; by reading, the race itself was not played. The ejection, cluster, settings and hot restart tests of sidecar pass with -race, linter clean.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -74,18 +74,15 @@
 // applyEjectionCommand applies an operator's command on this daemon and, if the cluster agrees on ejections, proposes it to the
 // cluster. While it is proposed, versions that the cluster agreed on before do not undo it.
 func (s *Sidecar) applyEjectionCommand(ctx context.Context, id string, isEjected bool) (string, error) {
-	if !s.cluster.hasConsensus() {
-		return s.overrides.setEjected(ctx, id, isEjected)
-	}
-	s.overrides.beginCommand(id)
-	version := uint64(0)
-	defer func() { s.overrides.finishCommand(id, version) }()
 	outcome, err := s.overrides.setEjected(ctx, id, isEjected)
 	if err != nil {
 		return outcome, err
 	}
-	var scope string
-	version, scope = s.cluster.proposeEjection(ctx, id, isEjected)
+	version, scope := uint64(0), ""
+	if s.cluster.hasConsensus() {
+		version, scope = s.cluster.proposeEjection(ctx, id, isEjected)
+	}
+	s.overrides.finishCommand(id, version)
 	return outcome + scope, nil
 }
 
--- a/internal/sidecar/agreed_ejections_test.go
+++ b/internal/sidecar/agreed_ejections_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"testing"
 )
 
@@ -52,3 +53,20 @@
 		})
 	}
 }
+
+// A command about an unknown endpoint is rejected. While it is decided it must not keep an agreed ejection from being applied, which no
+// later version would apply again.
+func TestRejectedCommandDoesNotHideAgreedEjection(t *testing.T) {
+	o := newOverrides()
+	if _, err := o.setEjected(t.Context(), "x", true); !errors.Is(err, errUnknownEndpoint) || len(o.commands) > 0 {
+		t.Errorf("error %v, commands %v, want %v and none", err, o.commands, errUnknownEndpoint)
+	}
+	o.record("x", true)
+	if _, err := o.setEjected(t.Context(), "x", false); err != nil || !o.commands.isLaterThan(7, "x") {
+		t.Errorf("error %v, commands %v, want that the command about x is not finished", err, o.commands)
+	}
+	o.finishCommand("x", 0)
+	if active := o.applyAgreed(t.Context(), agreedEjections{}, agreedEjections{8, map[string]bool{"x": true}}); !o.snapshot("x").isEjected {
+		t.Errorf("x is not ejected after version %d", active.version)
+	}
+}
--- a/internal/sidecar/overrides.go
+++ b/internal/sidecar/overrides.go
@@ -212,8 +212,8 @@
 }
 
 // setEjected ejects an endpoint manually, or ends its ejection. It returns once all pools have applied the change and the
-// shared directory has recorded it, with a description of the outcome for the operator. After errUnconfirmed the change
-// may still take effect. Clients of the admin address may match the texts of the errors.
+// shared directory has recorded it, with a description of the outcome for the operator. finishCommand must follow if there is
+// no error. After errUnconfirmed the change may still take effect. Clients of the admin address may match the texts of the errors.
 func (o *overrides) setEjected(ctx context.Context, id string, isEjected bool) (string, error) {
 	if err := o.acquire(ctx); err != nil {
 		return "", errUnconfirmed
@@ -235,13 +235,17 @@
 	case isEjected && !stateBefore.isEjected && stateBefore.ejectedCount >= hotrestart.MaxEjections:
 		return "", fmt.Errorf("%d endpoints are out already: no more can be", stateBefore.ejectedCount)
 	}
+	// The command begins only now that it takes effect: while it has begun, applyAgreed leaves the endpoint to it.
+	o.beginCommand(id)
 	if err := o.apply(ctx, stateBefore.pools, id, isEjected); err != nil {
+		o.finishCommand(id, 0)
 		return "", errUnconfirmed
 	}
 	outcome := describeOutcome(id, stateBefore.isEjected, isEjected)
 	// The record is written even if nothing has changed in this process: the shared directory may lack it.
 	if o.directory != nil {
 		if err := o.directory.RecordEjection(id, isEjected, time.Now()); err != nil {
+			o.finishCommand(id, 0)
 			return "", fmt.Errorf("%s, but here alone, for other processes can't be told: %w", outcome, err)
 		}
 	}
