--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -16,6 +16,7 @@
 	"move":     move,
 	"bodies":   bodies,
 	"commands": commands,
+	"latecopy": lateCopy,
 }
 
 func main() {
