--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 import (
 	"bufio"
