--- a/review/kit2/env.go
+++ b/review/kit2/env.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -57,6 +58,9 @@
 		fail(fmt.Errorf("deploy/balancer.toml has no run command"))
 	}
 	e.note("trouble=%v run=%q", e.trouble, e.run)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { e.cannot("signal %v", <-signals) }()
 	time.AfterFunc(112*time.Second, func() { e.cannot("the case did not end in time") })
 	return e
 }
