--- a/review/kit2/cases.go
+++ b/review/kit2/cases.go
@@ -198,7 +198,7 @@
 	const hangsAt, end = 3 * time.Second, 20 * time.Second
 	var ended tally
 	var requests sync.WaitGroup
-	sizes := []int{4 << 20, 9 << 19, 5 << 20}
+	sizes := []int{9 << 19, 5 << 20, 11 << 19, 6 << 20, 13 << 19, 7 << 20}
 	requests.Go(func() {
 		e.every(250*time.Millisecond, end, func(i int) {
 			a := ask{newID("bag"), "bag-dispatch", 3 * time.Second, sizes[i%len(sizes)]}
--- a/review/kit2/endpoint.go
+++ b/review/kit2/endpoint.go
@@ -40,6 +40,7 @@
 			if err != nil {
 				return
 			}
+			_ = conn.(*net.TCPConn).SetReadBuffer(receiveBuffer)
 			go ep.serve(conn)
 		}
 	}()
@@ -55,6 +56,10 @@
 	return endpoints, members
 }
 
+// receiveBuffer is the size of the receive buffers of endpoints, the usual one at the beginning of a connection. It does not grow, so that
+// it depends on no setting of the system how much an endpoint that hangs still takes in.
+const receiveBuffer = 128 << 10
+
 // gate is the receiving side of a connection; it receives nothing while the endpoint hangs.
 type gate struct {
 	net.Conn
