Frontend: a request hidden in the body of another one is not served

Cause: the scanner of request heads took the first byte after a response for the beginning of a head, though net/http reads ahead, so that it missed heads in the middle of a read and saw others from their middle; and HTTP/1.0 was exempt from the framing check on the health check's path.

Change: the scanner follows requests by their Content-Length and hands out one result for each head; a request without a result is rejected with 400 and closed, on every path.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -34,13 +34,19 @@
 	queue           *list.List    // the listener's queue that holds the connection; nil while a request is open
 	element         *list.Element // the connection's element of queue
 	queuedAt        time.Time     // when the connection was added to queue
-	awaitsFirstByte bool          // no byte was received since the last write: the next byte begins a request
+	awaitsFirstByte bool          // no byte was received since the last write
 	isEvicted       bool          // the next read that receives no bytes ends the connection
 	isCounted       bool          // the connection is counted in listener.openCount
 }
 
+// errTooManyFields ends the reading of a head with more than maxHeadFields fields. net/http responds to it with status 400.
+var errTooManyFields = errors.New("the head has too many fields")
+
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
+	if c.isExcessiveHeadPending() {
+		return 0, errTooManyFields
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsRequest() {
 		n, err = c.readAgain(b)
@@ -49,6 +55,9 @@
 	defer c.listener.mu.Unlock()
 	if n > 0 {
 		c.recordReceived(b[:n])
+		if c.readsExcessiveHead() {
+			return n, errTooManyFields
+		}
 		return n, err
 	}
 	if c.isEvicted && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -59,7 +68,7 @@
 
 // recordReceived updates the state of the connection after bytes were read from it. listener.mu is held.
 func (c *clientConn) recordReceived(b []byte) {
-	c.headScanner.scan(b, c.awaitsFirstByte)
+	c.headScanner.scan(b)
 	if c.isEvicted && c.awaitsFirstByte { // a request was received before the eviction took effect, so the connection stays open
 		c.cancelEviction(time.Now().Add(c.listener.headTimeout)) // a new read deadline is needed, since the eviction has overwritten that of net/http
 		c.moveTo(&c.listener.partial)
@@ -70,6 +79,19 @@
 	c.awaitsFirstByte = false
 }
 
+// isExcessiveHeadPending is readsExcessiveHead for callers that do not hold listener.mu.
+func (c *clientConn) isExcessiveHeadPending() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.readsExcessiveHead()
+}
+
+// readsExcessiveHead reports whether net/http is reading a head that has too many fields. While a request is open it is not: net/http
+// then reads a byte ahead, and an error would cancel the open request. listener.mu is held.
+func (c *clientConn) readsExcessiveHead() bool {
+	return c.queue != nil && c.headScanner.hasTooManyFields()
+}
+
 // awaitsRequest reports whether the next byte that is received begins a request.
 func (c *clientConn) awaitsRequest() bool {
 	c.listener.mu.Lock()
