Frontend: bodies of health checks, and ends of rejected requests, are bounded

Chunked bodies to /_health took the process to 173 to 272 MiB with a limit of 96. Beside it: a client that stopped in the body of a rejected request, or that read no response of the daemon's own, kept its connection for good.

Cause: the health check's path was exempt from streaming, and a body without a length reserves nothing. net/http discards the rest of a body without a deadline, and only responses of endpoints had a write deadline.

Change: a health check is answered before any body; requests are checked before their bodies are read; a buffered body is read into as many bytes as were reserved.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -10,49 +10,22 @@
 	"tuliprock/internal/body"
 )
 
-// reserveBodyMemory reserves the memory for a buffered body. It waits for free memory at most until the request's deadline. The
-// caller must call release when the memory is no longer used.
-func (s *Server) reserveBodyMemory(r *http.Request, arrived time.Time) (release func(), _ *rejection) {
+// reserveBodyMemory reserves the memory for a buffered body. It waits for free memory until the request's deadline, but no longer than
+// BodyTimeout, and fails as MemoryPool.Acquire does. The caller must call release when the memory is no longer used.
+func (s *Server) reserveBodyMemory(r *http.Request, deadline time.Time) (release func(), err error) {
 	size := body.MemoryRequest{Bytes: int(r.ContentLength)}
 	if s.options.BodyMemory == nil || size.Bytes <= 0 {
 		return func() {}, nil
 	}
-	switch err := s.options.BodyMemory.Acquire(canceledContext, size); {
-	case errors.Is(err, canceledContext.Err()):
-		if rejected := s.waitForBodyMemory(r, arrived, size); rejected != nil {
-			return nil, rejected
-		}
-	case err != nil:
-		return nil, memoryRejection(err)
-	}
-	return func() { s.options.BodyMemory.Release(size) }, nil
-}
-
-// canceledContext is a context that is already canceled. Acquiring memory with it fails at once if no memory is free.
-var canceledContext = func() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}()
-
-// waitForBodyMemory waits for memory until the request's deadline, but no longer than BodyTimeout.
-func (s *Server) waitForBodyMemory(r *http.Request, arrived time.Time, size body.MemoryRequest) *rejection {
-	routes := s.routes.acquire()
-	defer routes.release()
-	request, rejected := s.parseRequest(routes, r, true)
-	if rejected != nil {
-		return rejected
-	}
-	deadline := time.Now().Add(s.options.BodyTimeout)
-	if requestDeadline := s.deadlineFrom(request, arrived); requestDeadline.Before(deadline) {
-		deadline = requestDeadline
+	if latest := time.Now().Add(s.options.BodyTimeout); latest.Before(deadline) {
+		deadline = latest
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	if err := s.options.BodyMemory.Acquire(ctx, size); err != nil {
-		return memoryRejection(err)
+		return nil, err
 	}
-	return nil
+	return func() { s.options.BodyMemory.Release(size) }, nil
 }
 
 // readBufferedBody reads a complete body within BodyTimeout. It removes the read deadline afterwards: if a read timed out while the
@@ -65,7 +38,7 @@
 	if err := controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout)); err != nil {
 		return nil, newRejection(http.StatusBadRequest, "%w", err)
 	}
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes))
+	content, err := readAll(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes), r.ContentLength)
 	if tooLongErr := (*http.MaxBytesError)(nil); errors.As(err, &tooLongErr) {
 		return nil, newRejection(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
@@ -77,3 +50,14 @@
 	}
 	return content, nil
 }
+
+// readAll reads a body of the given length to its end. A body of up to body.BufferSize bytes takes as much memory as its length, which is
+// what reserveBodyMemory has reserved for it; the buffer of a longer one grows while the body arrives.
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > body.BufferSize {
+		return io.ReadAll(from)
+	}
+	content := make([]byte, length)
+	_, err := io.ReadFull(from, content)
+	return content, err
+}
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -74,19 +74,6 @@
 	rejected.write(w)
 }
 
-// rejectForLackOfMemory rejects a request for whose body no memory could be reserved. A valid request counts for its class, an invalid
-// one as rejected input.
-func (s *Server) rejectForLackOfMemory(w http.ResponseWriter, r *http.Request, rejected *rejection) {
-	routes := s.routes.acquire()
-	defer routes.release()
-	request, parseRejection := s.parseRequest(routes, r, true)
-	if parseRejection != nil {
-		s.rejectInvalid(w, parseRejection)
-		return
-	}
-	request.reject(w, rejected)
-}
-
 // reject rejects a valid request and counts it for its class.
 func (r *routedRequest) reject(w http.ResponseWriter, rejected *rejection) {
 	outcome := metrics.Failed
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -37,9 +37,10 @@
 // responseWriter is a ResponseWriter that sets Connection: close if the connection can't serve another request.
 type responseWriter struct {
 	http.ResponseWriter
-	closesConnections *atomic.Bool // whether every response closes its connection; a field of the Server
-	upload            *body.Upload // streaming body of the request; nil: the body is not streamed
-	mustClose         bool         // the bytes that follow on the connection can't be trusted to begin a new request
+	closesConnections *atomic.Bool  // whether every response closes its connection; a field of the Server
+	writeTimeout      time.Duration // timeout for writing the response, unless it streams
+	upload            *body.Upload  // streaming body of the request; nil: the body is not streamed
+	mustClose         bool          // the bytes that follow on the connection can't be trusted to begin a new request
 	wroteHeader       bool
 }
 
@@ -49,9 +50,16 @@
 	if w.closesConnections.Load() || w.mustClose || w.upload != nil && !w.upload.IsComplete() {
 		w.Header().Set("Connection", "close")
 	}
+	// The deadline keeps a client that does not read from holding its connection forever. An error means that it has disconnected.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.writeTimeout))
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// closes reports whether the connection is closed after the response.
+func (w *responseWriter) closes() bool {
+	return w.wroteHeader && w.Header().Get("Connection") == "close"
+}
+
 // Unwrap returns the wrapped writer, for http.ResponseController.
 func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
@@ -62,8 +70,6 @@
 		s.streamResponse(w, r, request, reply.Response)
 		return metrics.OK
 	}
-	// The deadline keeps a client that does not read from holding its connection forever. An error means that it has disconnected.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
 	header := w.Header()
 	content, status := reply.Response.Body, reply.Response.Status
 	isFromEndpoint := status != 0
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -112,6 +112,7 @@
 		Handler:                      s,
 		DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout:            s.options.HeadTimeout,
+		WriteTimeout:                 s.options.WriteTimeout, // for responses that net/http writes itself; responseWriter sets a deadline of its own
 		IdleTimeout:                  s.options.IdleTimeout,
 		MaxHeaderBytes:               s.options.MaxHeaderBytes,
 		ConnState:                    track,
@@ -127,40 +128,56 @@
 	if isDisconnected {
 		panic(http.ErrAbortHandler)
 	}
-	writer := &responseWriter{ResponseWriter: w, closesConnections: &s.closesConnections}
+	writer := &responseWriter{ResponseWriter: w, closesConnections: &s.closesConnections, writeTimeout: s.options.WriteTimeout}
+	defer limitUnreadBody(writer)
 	// The framing is checked first, since bytes of a request's body must never be read as another request.
 	if rejected := s.checkFraming(r); rejected != nil {
 		s.rejectInvalid(writer, rejected)
 		return
 	}
-	if s.isStreaming(r) {
+	switch {
+	case r.URL.Path == healthPath:
+		s.serveHealth(writer, r)
+	case s.isStreaming(r):
 		s.serveStreaming(writer, r, arrived)
+	default:
+		s.serveBuffered(writer, r, arrived)
+	}
+}
+
+// limitUnreadBody limits how long net/http reads the rest of a request's body before it closes the connection.
+func limitUnreadBody(w *responseWriter) {
+	if w.closes() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxLingerTime)) // an error means that the client has disconnected
+	}
+}
+
+// serveHealth responds to a health check, which has no body.
+func (s *Server) serveHealth(w *responseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		s.rejectInvalid(w, newRejection(http.StatusBadRequest, "a body is not wanted here"))
 		return
 	}
-	s.serveBuffered(writer, r, arrived)
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, "ok\n") // an error means that the client has disconnected
 }
 
 // serveBuffered serves a request whose body is read completely before the request is submitted.
 func (s *Server) serveBuffered(w *responseWriter, r *http.Request, arrived time.Time) {
-	release, rejected := s.reserveBodyMemory(r, arrived)
-	if rejected != nil {
-		s.rejectForLackOfMemory(w, r, rejected)
-		return
-	}
-	defer release()
-	content, rejected := s.readBufferedBody(w, r)
+	routes := s.routes.acquire()
+	defer routes.release()
+	request, rejected := s.parseRequest(routes, r, r.ContentLength > 0)
 	if rejected != nil {
 		s.rejectInvalid(w, rejected)
 		return
 	}
-	if r.URL.Path == healthPath {
-		w.WriteHeader(http.StatusOK)
-		_, _ = io.WriteString(w, "ok\n") // an error means that the client has disconnected
+	release, err := s.reserveBodyMemory(r, s.deadlineFrom(request, arrived))
+	if err != nil {
+		request.reject(w, memoryRejection(err))
 		return
 	}
-	routes := s.routes.acquire()
-	defer routes.release()
-	request, rejected := s.parseRequest(routes, r, len(content) > 0)
+	defer release()
+	content, rejected := s.readBufferedBody(w, r)
 	if rejected != nil {
 		s.rejectInvalid(w, rejected)
 		return
--- a/internal/frontend/streaming.go
+++ b/internal/frontend/streaming.go
@@ -23,7 +23,7 @@
 // the client should send them.
 func (s *Server) isStreaming(r *http.Request) bool {
 	isLongOrUnknown := r.ContentLength < 0 || r.ContentLength > body.BufferSize
-	return s.options.BodyMemory != nil && r.URL.Path != healthPath && (isLongOrUnknown || r.ContentLength > 0 && expectsContinue(r))
+	return s.options.BodyMemory != nil && (isLongOrUnknown || r.ContentLength > 0 && expectsContinue(r))
 }
 
 func expectsContinue(r *http.Request) bool {
