Uploads: the client's time counts from when it may have written the last byte

Cause: the time began when the daemon read the last byte, and the daemon reads no faster than the endpoint; until then only the idle timeout of streaming bodies applied, anew with each byte.

Change: an upload knows the latest time at which its client had certainly not written the last byte (a read that waited, nothing unread though bytes are missing, more missing than 8 MiB). The time counts from there; if it passes while the body is being sent, the balancer gives the final answer (BodyOverdue) and takes the endpoint for silent.

--- a/balance/api.go
+++ b/balance/api.go
@@ -27,6 +27,10 @@
 	// BodySent reports, for a request with a streaming body, that attempt n has sent the last byte of the body. From now on
 	// the attempt waits for the endpoint, and the client waits until the deadline given here.
 	BodySent(now time.Duration, id string, n int, deadline time.Duration)
+	// BodyOverdue reports, for a request with a streaming body, that the client may have waited for its response since the
+	// instant writtenAt, for as long as it waits at most, although the body has not been sent to the end: the endpoint does not
+	// take it.
+	BodyOverdue(now time.Duration, id string, writtenAt time.Duration)
 	// StreamStarted reports that attempt n of a request has begun to stream its response to the client.
 	StreamStarted(now time.Duration, id string, n int)
 	// Outcome reports the end of an attempt. The host reports exactly one outcome per attempt sent; the balancer ignores
--- a/balance/streaming_test.go
+++ b/balance/streaming_test.go
@@ -168,3 +168,22 @@
 	}
 	t.Error("b got none of 1000 requests during the upload, want another trial")
 }
+
+// An endpoint that takes no body must not hold a client beyond its time, and counts as one that does not respond.
+func TestOverdueBodyFailsItsRequestAndEjectsASilentEndpoint(t *testing.T) {
+	h := newHarness(t, defaultSettings(), "a", "b")
+	h.learnBaseline("read")
+	id := h.upload("bill")
+	silent, sentAt := h.sentTo[id][0], h.now
+	h.advance(3 * time.Second)
+	h.balancer.BodyOverdue(h.now, id, sentAt)
+	if h.countActions("fail "+id) != 1 || h.countActions("cancel "+id) != 1 {
+		t.Fatalf("actions are %v, want the upload cancelled and failed", h.actions[len(h.actions)-3:])
+	}
+	h.finish(id, balance.Canceled)
+	h.balancer.BodyOverdue(h.now, id, sentAt) // has no effect any more
+	counts := h.serve(20, map[string]time.Duration{"a": 10 * ms, "b": 10 * ms})
+	if counts[silent] > 1 || h.countActions("fail "+id) != 1 { // one trial may be due
+		t.Errorf("the endpoints got %v of 20 requests, want %s to get at most a trial", counts, silent)
+	}
+}
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -48,6 +48,10 @@
 	ExpectsContinue bool
 	// MinimumRate is the rate that the client must keep while it sends the body.
 	MinimumRate MinimumRate
+	// ArrivedAt is when the request's head arrived; zero means when NewUpload was called.
+	ArrivedAt time.Time
+	// Connection is the connection of the client; nil means that each read of Body waits for the client.
+	Connection ClientConnection
 }
 
 // Upload is a request's body that is forwarded while it arrives. The first PrefixSize bytes of the body, its prefix, stay
@@ -66,7 +70,7 @@
 	receivedBytes int64     // bytes of the body that have arrived
 	isReading     bool      // a read of Source.Body is in progress
 	isComplete    bool      // the body's end has arrived
-	completedAt   time.Time // when the body's end arrived; zero unless isComplete
+	unfinishedAt  time.Time // latest known time at which the client had certainly not written the body's last byte
 	isConsumed    bool      // the body can't be sent again: bytes beyond the first PrefixSize were returned, or TakeBuffer was called
 	isStopped     bool      // no more reads of Source.Body may start
 	isClosed      bool      // Close was called: the buffer may be released, and gets no more users
@@ -82,6 +86,9 @@
 	}
 	u := &Upload{Source: s, buffer: buffer, meter: NewMeter(s.MinimumRate), failed: make(chan struct{})}
 	u.readEnded.L = &u.mu
+	if u.unfinishedAt = s.ArrivedAt; u.unfinishedAt.IsZero() {
+		u.unfinishedAt = time.Now()
+	}
 	return u, nil
 }
 
@@ -108,13 +115,6 @@
 	return u.isComplete
 }
 
-// CompletedAt returns when the body's end arrived. isComplete is false if it has not arrived yet.
-func (u *Upload) CompletedAt() (at time.Time, isComplete bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.completedAt, u.isComplete
-}
-
 // Failed returns a channel that is closed when the body could not be read. Err then returns the reason.
 func (u *Upload) Failed() <-chan struct{} { return u.failed }
 
--- a/internal/body/upload_receive.go
+++ b/internal/body/upload_receive.go
@@ -76,6 +76,7 @@
 		to = buffer[PrefixSize:]
 	}
 	n, err := u.readInto(to)
+	u.recordRead(n)
 	if u.receivedBytes += int64(n); !isBeyondPrefix {
 		u.prefixLen += n
 	}
@@ -117,6 +118,16 @@
 	return n, err
 }
 
+// recordRead moves unfinishedAt on after a read that returned n bytes, if the client had certainly not written the last byte when the
+// read began. u.mu is held.
+func (u *Upload) recordRead(n int) {
+	isFarFromEnd := u.Size-u.receivedBytes > maxClientSendBuffer && u.isCertainlyUnfinished()
+	if n > 0 && (u.Connection == nil || isFarFromEnd) {
+		u.unfinishedAt = time.Now()
+	}
+	u.recordWait()
+}
+
 // checkReadable returns nil if more of the body may be read from the client, and otherwise the reason why not. u.mu is held.
 func (u *Upload) checkReadable() error {
 	switch {
@@ -138,7 +149,7 @@
 	case u.receivedBytes > u.MaxBytes:
 		u.fail(ErrTooLong)
 	case errors.Is(err, io.EOF):
-		u.isComplete, u.completedAt = true, time.Now()
+		u.isComplete = true
 		_ = u.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		u.fail(fmt.Errorf("%w: the body does not arrive", ErrTooSlow))
--- a/internal/eventloop/attempt.go
+++ b/internal/eventloop/attempt.go
@@ -62,13 +62,30 @@
 	if c.ResponseTimeout <= 0 || c.isDeadlineFixed {
 		return
 	}
-	bodyReceivedAt := now
+	c.Deadline, c.isDeadlineFixed = min(l.bodyWrittenAt(now, c)+c.ResponseTimeout, c.StreamUntil), true
+}
+
+// bodyWrittenAt returns the earliest instant at which the client of a request may have written the last byte of the request's body.
+func (l *Loop) bodyWrittenAt(now time.Duration, c *Call) time.Duration {
 	if upload := c.HTTPRequest.Upload; upload != nil {
-		if completedAt, isComplete := upload.CompletedAt(); isComplete {
-			bodyReceivedAt = l.At(completedAt)
-		}
+		return min(l.At(upload.ClientUnfinishedAt(time.Now())), now)
+	}
+	return now
+}
+
+// watchUpload makes sure that a request with a streaming body gets its final response in time, also if its body can't be sent: an
+// endpoint may take the body so slowly that the client has long written its last byte, and waits, while the rest of the body is still
+// in the buffers of both systems.
+func (l *Loop) watchUpload(now time.Duration, c *Call) {
+	if c.isFinished.Load() || c.isDeadlineFixed {
+		return
+	}
+	writtenAt := l.bodyWrittenAt(now, c)
+	if wait := writtenAt + c.ResponseTimeout - now; wait > 0 {
+		time.AfterFunc(wait, func() { l.Post(func(now time.Duration) { l.watchUpload(now, c) }) })
+		return
 	}
-	c.Deadline, c.isDeadlineFixed = min(bodyReceivedAt+c.ResponseTimeout, c.StreamUntil), true
+	l.balancer.BodyOverdue(now, c.ID, writtenAt)
 }
 
 // attemptRequest returns the request as the next attempt forwards it, and the instant by which the attempt must end. Once the body was
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -83,6 +83,9 @@
 	}
 	l.calls[c.ID] = c
 	l.balancer.Request(now, c.Request)
+	if c.ResponseTimeout > 0 {
+		l.watchUpload(now, c)
+	}
 }
 
 // ClientDisconnected notifies the balancer that the client of a request has disconnected. It returns false if the request was
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -29,6 +29,7 @@
 	listener    *Listener
 	writeMeter  atomic.Pointer[body.Meter] // enforces the minimum rate at which the client must receive; nil: no minimum
 	headScanner headScanner                // scans the heads of the requests that are read
+	waits       waitTracker                // when reads had to wait for the client
 
 	// listener.mu guards the fields below.
 	queue           *list.List    // the listener's queue that holds the connection; nil while a request is open
@@ -47,7 +48,9 @@
 	if c.isExcessiveHeadPending() {
 		return 0, errTooManyFields
 	}
+	endWait := c.waits.begin(c.Conn)
 	n, err := c.Conn.Read(b)
+	endWait(n)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsRequest() {
 		n, err = c.readAgain(b)
 	}
--- a/internal/frontend/streaming.go
+++ b/internal/frontend/streaming.go
@@ -48,7 +48,7 @@
 		s.rejectInvalid(w, newRejection(http.StatusBadRequest, "%w", err))
 		return
 	}
-	upload, err := s.openUpload(r, controller, s.deadlineFrom(request, arrived))
+	upload, err := s.openUpload(r, controller, arrived, s.deadlineFrom(request, arrived))
 	if err != nil {
 		request.reject(w, memoryRejection(err))
 		return
@@ -71,19 +71,20 @@
 	}
 	if isComplete && upload.Trailer() == nil {
 		request.call.HTTPRequest.Body = bytes.Clone(upload.Prefix())
-		s.setDeadline(request, timeoutStart(request, arrived))
+		s.setDeadline(request, timeoutStart(request, upload, arrived))
 	} else {
-		s.attachUpload(request, upload, timeoutStart(request, arrived))
+		s.attachUpload(request, upload, timeoutStart(request, upload, arrived))
 	}
 	s.dispatch(w, r, request)
 }
 
-// openUpload returns an Upload of the request's body. It waits for memory until the deadline at most.
-func (s *Server) openUpload(r *http.Request, controller *http.ResponseController, deadline time.Time) (*body.Upload, error) {
+// openUpload returns an Upload of the body of a request that has arrived at the given time. It waits for memory until the deadline at
+// most.
+func (s *Server) openUpload(r *http.Request, controller *http.ResponseController, arrived, deadline time.Time) (*body.Upload, error) {
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	defer context.AfterFunc(s.streamContext, cancel)()
-	return body.NewUpload(ctx, s.options.BodyMemory, body.Source{
+	source := body.Source{
 		Body:            r.Body,
 		SetReadDeadline: controller.SetReadDeadline,
 		Size:            r.ContentLength,
@@ -91,7 +92,13 @@
 		Trailer:         func() http.Header { return r.Trailer },
 		ExpectsContinue: expectsContinue(r),
 		MinimumRate:     s.options.MinRate,
-	})
+		ArrivedAt:       arrived,
+	}
+	if c := connOf(r); c != nil {
+		c.waits.isEnabled.Store(true)
+		source.Connection = c
+	}
+	return body.NewUpload(ctx, s.options.BodyMemory, source)
 }
 
 // fillUpload reads at least the first body.PrefixSize bytes of a body, or to its end, and reports whether the end was reached. It fails
@@ -111,13 +118,12 @@
 }
 
 // timeoutStart returns the time from which the timeout of a request with a streaming body counts: the request's arrival if the
-// deadline covers streaming bodies, and otherwise the current time. The beginning of the body has then been received, unless the
-// client waits for 100 Continue.
-func timeoutStart(request *routedRequest, arrived time.Time) time.Time {
+// deadline covers streaming bodies, and otherwise the latest time at which the client had certainly not written its whole body.
+func timeoutStart(request *routedRequest, upload *body.Upload, arrived time.Time) time.Time {
 	if request.target.Class.DeadlineCoversStreams {
 		return arrived
 	}
-	return time.Now()
+	return upload.ClientUnfinishedAt(time.Now())
 }
 
 // attachUpload attaches a streaming body to a request and sets the request's deadlines. Unless the class's deadline covers
@@ -129,6 +135,6 @@
 	call.HTTPRequest.Upload, call.StreamUntil = upload, call.Deadline
 	if !class.DeadlineCoversStreams {
 		call.StreamUntil = max(call.Deadline, request.target.Loop.At(s.capAtShutdown(start.Add(class.MaxStreamDuration))))
-		call.ResponseTimeout, call.HTTPRequest.ResponseTimeout = request.timeout, request.timeout
+		call.ResponseTimeout, call.HTTPRequest.ResponseTimeout = request.timeout-deadlineMargin, request.timeout
 	}
 }
--- a/internal/simwire/reader_test.go
+++ b/internal/simwire/reader_test.go
@@ -48,6 +48,9 @@
 func (r *recorder) BodySent(now time.Duration, id string, n int, deadline time.Duration) {
 	r.record(now, "sent", []any{id, n, deadline})
 }
+func (r *recorder) BodyOverdue(now time.Duration, id string, writtenAt time.Duration) {
+	r.record(now, "overdue", []any{id, writtenAt})
+}
 func (r *recorder) Outcome(now time.Duration, o balance.Outcome)    { r.record(now, "outcome", o) }
 func (r *recorder) ClientDisconnected(now time.Duration, id string) { r.record(now, "left", id) }
 func (r *recorder) Timer(now time.Duration)                         { r.record(now, "timer", nil) }
--- a/internal/testkit/baseline/baseline.go
+++ b/internal/testkit/baseline/baseline.go
@@ -194,6 +194,15 @@
 // BodySent implements balance.Events. It does nothing, since the policies don't measure latency.
 func (b *balancer) BodySent(time.Duration, string, int, time.Duration) {}
 
+// BodyOverdue implements balance.Events. The request fails; an attempt in flight goes on until its deadline.
+func (b *balancer) BodyOverdue(_ time.Duration, id string, _ time.Duration) {
+	if q := b.requests[id]; q != nil && !q.isFinished {
+		b.host.Fail(id)
+		q.isFinished = true
+		b.discardIfDone(q)
+	}
+}
+
 // SetBalancerCount implements balance.Events. The policies take no account of other balancers.
 func (b *balancer) SetBalancerCount(time.Duration, int, int) {}
 
--- a/internal/testkit/rehearse/faulty_sidecar_test.go
+++ b/internal/testkit/rehearse/faulty_sidecar_test.go
@@ -232,6 +232,8 @@
 
 func (b *faultyBalancer) BodySent(time.Duration, string, int, time.Duration) {}
 
+func (b *faultyBalancer) BodyOverdue(time.Duration, string, time.Duration) {}
+
 func (b *faultyBalancer) Timer(time.Duration) {}
 
 func (b *faultyBalancer) Probed(time.Duration, balance.ProbeResult) {}
