Platform: long heads fit the memory limit; bodies are not copied into a second buffer

Cause: a head may have 20 kB on each connection whatever the memory, and an attempt copied head and body into one growing buffer.

Change: on the platform all heads together get a sixteenth of the memory (4 to 16 KiB each); the head is encoded into a buffer of its size, and written with the body by one writev.

--- a/internal/config/platform_service.go
+++ b/internal/config/platform_service.go
@@ -26,6 +26,11 @@
 	// platformBodyMemoryDivisor is the ratio of a sidecar's memory limit to its memory budget for bodies. The budget is small because two
 	// processes share the memory limit during a hot restart.
 	platformBodyMemoryDivisor = 8
+
+	// platformHeadMemoryDivisor is the ratio of a sidecar's memory limit to the bytes of the heads that all its clients can send at
+	// once. A head takes several times its length while it is parsed and forwarded.
+	platformHeadMemoryDivisor = 16
+	minPlatformHeadBytes      = 4 << 10
 )
 
 // The maximum number of operators' connections is the limit on sockets divided by operatorSocketDivisor, but at least
@@ -74,6 +79,7 @@
 	l.Forwarded, l.RetryAfterFormat = forwardedModeLeave, retryAfterFormatFractionalSeconds
 	l.HeadTimeout, l.BodyTimeout, l.MaxBodyBytes = platformHeadTimeout, platformBodyTimeout, platformMaxBodyBytes
 	l.StreamIdleTimeout, l.MinStreamRate = platformStreamIdleTimeout, platformMinStreamRate
+	l.MaxHeadBytes = min(l.MaxHeadBytes, max(c.Limits.MemoryMB<<20/platformHeadMemoryDivisor/connectionLimit, minPlatformHeadBytes))
 	return l
 }
 
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -81,3 +81,23 @@
 	}
 	return changed
 }
+
+// All clients together must not make a sidecar parse more heads at once than its memory holds.
+func TestPlatformHeadsFitMemory(t *testing.T) {
+	for _, row := range []struct{ memoryMB, sockets, want int }{
+		{192, 1024, 16 << 10},
+		{32, 1024, 32 << 20 / 16 / 492},
+		{16, 1024, 4 << 10},
+		{96, 512, 16 << 10},
+	} {
+		c := Config{Limits: Limits{Cores: 1, MemoryMB: row.memoryMB, Sockets: row.sockets}, Listen: "127.0.0.1:1", Discovery: "127.0.0.1:2"}
+		s, err := c.Service()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Listeners[0].MaxHeadBytes; got != row.want {
+			t.Errorf("%d MiB, %d sockets, %d connections: heads of %d bytes are allowed, want %d",
+				row.memoryMB, row.sockets, s.Listeners[0].MaxConnections, got, row.want)
+		}
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -45,7 +46,7 @@
 func (cl *Client) Attempt(
 	ctx context.Context, id string, req *Request, hooks AttemptHooks,
 ) (result balance.Result, usedIdle bool, response Response) {
-	c, encoded, err := cl.acquire(ctx, id, req)
+	c, head, err := cl.acquire(ctx, id, req)
 	// While acquire dialed or waited for the reuse delay, the endpoint may have stopped accepting requests, the deadline may have
 	// passed, and the request may have become unwanted.
 	switch {
@@ -65,7 +66,7 @@
 	}
 	usedIdle = !c.idleSince.IsZero()
 	x := &exchange{client: cl, conn: c, request: req, hooks: hooks, detachContext: context.AfterFunc(ctx, func() { c.Close() })}
-	o := x.run(ctx, encoded)
+	o := x.run(ctx, head)
 	if o.isReusable && (x.isHandedOver.Load() || x.detachContext()) {
 		cl.release(c, true)
 	} else {
@@ -119,14 +120,18 @@
 	isReusable bool // whether the connection may carry another exchange
 }
 
-// run writes the encoded request, or its head if the body streams, and reads the response.
-func (x *exchange) run(ctx context.Context, encoded []byte) outcome {
+// run writes the request, whose encoded head is given, and reads the response.
+func (x *exchange) run(ctx context.Context, head []byte) outcome {
 	if x.request.Upload != nil {
-		return x.runUpload(ctx, encoded)
+		return x.runUpload(ctx, head)
+	}
+	parts := net.Buffers{head}
+	if len(x.request.Body) > 0 {
+		parts = append(parts, x.request.Body)
 	}
 	// If RequestStart is StartsWithLastByte, the endpoint has not run a request that was not written completely. If it is
 	// StartsWithHead, the endpoint may have run the request if any byte was written.
-	if n, _ := x.conn.Write(encoded); n < len(encoded) {
+	if n, _ := parts.WriteTo(x.conn.Conn); n < int64(len(head)+len(x.request.Body)) {
 		if n > 0 && x.client.options.RequestStart == StartsWithHead {
 			return outcome{result: unlessCanceled(ctx, balance.ErrorResponse)}
 		}
--- a/internal/upstream/connection_pool.go
+++ b/internal/upstream/connection_pool.go
@@ -27,7 +27,7 @@
 	idle                []*conn // idle connections by idleSince, the most recently used one last
 }
 
-// acquire returns a usable connection to the endpoint, idle or new, and the encoded request. The request is encoded after the
+// acquire returns a usable connection to the endpoint, idle or new, and the encoded head of the request. The head is encoded after the
 // connection was dialed or its reuse delay has passed, since it says how much time is left until its deadline. An idle
 // connection is checked last and discarded if bytes have arrived, since these may be a duplicate of its previous response.
 func (cl *Client) acquire(ctx context.Context, id string, req *Request) (*conn, []byte, error) {
@@ -41,7 +41,7 @@
 			if err != nil {
 				return nil, nil, err
 			}
-			return c, req.encode(ctx), nil
+			return c, req.encodeHead(ctx), nil
 		}
 		if delay := cl.delayBeforeReuse - time.Since(r.conn.idleSince); delay > 0 {
 			select {
@@ -49,9 +49,9 @@
 			case <-time.After(delay):
 			}
 		}
-		encoded := req.encode(ctx)
+		head := req.encodeHead(ctx)
 		if cl.isUsable(r.conn) {
-			return r.conn, encoded, nil
+			return r.conn, head, nil
 		}
 		cl.discard(r.conn)
 	}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -197,7 +197,7 @@
 		reader, _ := upload.NewReader()
 		client := New(Options{MinimumRate: body.MinimumRate{IdleTimeout: time.Minute}})
 		sender := newBodySender(&exchange{client: client, conn: c, request: req}, reader)
-		sender.run(req.encode(context.Background()))
+		sender.run(req.encodeHead(context.Background()))
 		forwarded, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(s.out.Bytes())))
 		if err != nil {
 			t.Fatalf("parsing the forwarded request %q: %v", s.out.String(), err)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -39,10 +39,11 @@
 	ResponseTimeout time.Duration
 }
 
-// encode returns the bytes that are written to an endpoint: the complete request or, if the body streams, its head. The body is
-// framed either by its length or by chunks. The deadline header has the time that is left at the moment of the call.
-func (r *Request) encode(ctx context.Context) []byte {
+// encodeHead returns the head as it is written to an endpoint. The body is framed either by its length or by chunks. The deadline header
+// has the time that is left at the moment of the call.
+func (r *Request) encodeHead(ctx context.Context) []byte {
 	var text bytes.Buffer
+	text.Grow(r.headLength())
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	excludedFields := map[string]bool{"Content-Length": true, "Host": true}
 	if timeLeft, ok := r.responseTimeout(ctx); ok && r.DeadlineHeader != "" {
@@ -57,10 +58,23 @@
 	}
 	_ = r.Header.WriteSubset(&text, excludedFields) // writing to a bytes.Buffer never fails
 	text.WriteString("\r\n")
-	text.Write(r.Body)
 	return text.Bytes()
 }
 
+// maxAddedHeadBytes is the length in bytes of what encodeHead adds to the request's own texts: version, separators and framing.
+const maxAddedHeadBytes = 128
+
+// headLength returns about how many bytes the encoded head has. A head is sized once, since many long ones may be in flight.
+func (r *Request) headLength() int {
+	length := len(r.Method) + len(r.Target) + len(r.Host) + len(r.DeadlineHeader) + maxAddedHeadBytes
+	for name, values := range r.Header {
+		for _, value := range values {
+			length += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	return length
+}
+
 // writeFraming writes the header fields that frame a streaming body.
 func (r *Request) writeFraming(text *bytes.Buffer) {
 	if r.Upload.Size >= 0 {
--- a/internal/upstream/response_stream_test.go
+++ b/internal/upstream/response_stream_test.go
@@ -69,7 +69,7 @@
 		attemptEnded := make(chan struct{})
 		go func() {
 			defer close(attemptEnded)
-			x.run(t.Context(), x.request.encode(t.Context()))
+			x.run(t.Context(), x.request.encodeHead(t.Context()))
 		}()
 		received, err := http.ReadRequest(bufio.NewReader(x.endpoint))
 		if err != nil {
@@ -114,7 +114,7 @@
 	}
 	go func() {
 		defer close(exchangeEnded)
-		x.run(t.Context(), x.request.encode(t.Context()))
+		x.run(t.Context(), x.request.encodeHead(t.Context()))
 	}()
 	if _, err := http.ReadRequest(bufio.NewReader(x.endpoint)); err != nil {
 		t.Fatal(err)
