Frontend: requests answered without an endpoint are paced on each connection

Beside clients that sent health checks at full speed others got their answers late or never.

Cause: with one processor the runtime polls the network only every 10 ms while a goroutine is ready to run.

TestRequestsAnsweredWithoutEndpointArePaced failed before.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -168,6 +168,12 @@
 	s.linger(c)
 }
 
+// maxEmptyLines is the maximum number of empty lines before a command. A client that sends them at full speed would keep the only
+// processor busy.
+const maxEmptyLines = 16
+
+var errTooManyEmptyLines = fmt.Errorf("more than %d empty lines come before the command", maxEmptyLines)
+
 // errIncompleteLine means that the client has closed the connection or was too slow. Such a connection gets no response.
 var errIncompleteLine = errors.New("the line is not complete")
 
@@ -175,7 +181,10 @@
 // deadline limits both. An incomplete line is never parsed, since a truncated ID could be that of another endpoint.
 func (s *Server) readCommand(in *bufio.Reader) (Command, []byte, error) {
 	line, err := in.ReadSlice('\n')
-	for err == nil && len(bytes.TrimSpace(line)) == 0 {
+	for emptyLines := 0; err == nil && len(bytes.TrimSpace(line)) == 0; emptyLines++ {
+		if emptyLines == maxEmptyLines {
+			return Command{}, nil, errTooManyEmptyLines
+		}
 		line, err = in.ReadSlice('\n')
 	}
 	switch {
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -185,3 +185,14 @@
 		t.Errorf("%d connections open and %d idle after Close, want 0 and 0", s.openCount, s.idle.Len())
 	}
 }
+
+// A client that sends empty lines at full speed would keep the only processor busy for as long as a command may take.
+func TestCommandAfterTooManyEmptyLinesIsRejected(t *testing.T) {
+	s := startServer(t, testHandlers(true, nil))
+	if got := exchange(t, s, strings.Repeat("\n", maxEmptyLines)+"check\n"); !strings.HasPrefix(got, "SUCCESS ") {
+		t.Errorf("response %q after %d empty lines, want one that begins with SUCCESS", got, maxEmptyLines)
+	}
+	if got := exchange(t, s, strings.Repeat("\n", maxEmptyLines+1)+"check\n"); !strings.HasPrefix(got, "FAILURE ") {
+		t.Errorf("response %q after %d empty lines, want one that begins with FAILURE", got, maxEmptyLines+1)
+	}
+}
--- a/internal/frontend/bounded_test.go
+++ b/internal/frontend/bounded_test.go
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			response := "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("y", 60000)
 			e := testpeer.NewEndpoint(t, testpeer.RespondWith(response, true))
-			p := startProxy(t, proxyOptions{configure: func(o *Options) { o.WriteTimeout = 50 * time.Millisecond }}, e.Addr)
+			p := startProxy(t, proxyOptions{sendBufferBytes: 4 << 10, configure: func(o *Options) { o.WriteTimeout = 50 * time.Millisecond }}, e.Addr)
 			client := p.dialClient(t)
 			_ = client.SetReadBuffer(4 << 10)
 			_ = client.SetWriteDeadline(time.Now().Add(testpeer.Timeout))
@@ -85,3 +85,24 @@
 		})
 	}
 }
+
+// A client that sends requests at full speed which need no endpoint must not keep the processor from the requests of others.
+func TestRequestsAnsweredWithoutEndpointArePaced(t *testing.T) {
+	const count = 100
+	p := startProxy(t, proxyOptions{})
+	client := p.dialClient(t)
+	_ = client.SetDeadline(time.Now().Add(testpeer.Timeout))
+	beganAt := time.Now()
+	io.WriteString(client, strings.Repeat("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n", count))
+	in := bufio.NewReader(client)
+	for range count {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	if took := time.Since(beganAt); took < (count-1)*minLocalSpacing {
+		t.Errorf("%d requests were answered in %v, want at least %v", count, took, (count-1)*minLocalSpacing)
+	}
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -30,6 +30,7 @@
 	writeMeter  atomic.Pointer[body.Meter] // enforces the minimum rate at which the client must receive; nil: no minimum
 	headScanner headScanner                // scans the heads of the requests that are read
 	waits       waitTracker                // when reads had to wait for the client
+	pacer       localPacer                 // limits how fast requests are answered without an endpoint
 
 	// listener.mu guards the fields below.
 	queue           *list.List    // the listener's queue that holds the connection; nil while a request is open
--- a/internal/frontend/proxy_test.go
+++ b/internal/frontend/proxy_test.go
@@ -37,6 +37,8 @@
 	bodyMemory *body.MemoryPool // memory for bodies; nil turns streaming off, so that all bodies are buffered
 	beforeDial func()           // called before each dial of an endpoint, if not nil
 
+	sendBufferBytes int // size of the send buffers of clients' connections; 0: the system's
+
 	configure      func(*Options) // changes the options of the Server, if not nil
 	configureClass func(*Class)   // changes each class, if not nil
 }
@@ -94,6 +96,9 @@
 		t.Fatal(err)
 	}
 	p.addr = tcpListener.Addr().String()
+	if options.sendBufferBytes > 0 {
+		tcpListener = smallBufferListener{tcpListener, options.sendBufferBytes}
+	}
 	listener := NewListener(NewLimitListener(tcpListener, 1000), 1000, testpeer.Timeout)
 	server := p.server.HTTPServer(listener.Track)
 	ctx, stop := context.WithCancel(context.Background())
@@ -105,6 +110,20 @@
 	return p
 }
 
+// smallBufferListener is a listener whose connections have send buffers of a fixed size.
+type smallBufferListener struct {
+	net.Listener
+	sendBufferBytes int
+}
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		err = conn.(*net.TCPConn).SetWriteBuffer(l.sendBufferBytes)
+	}
+	return conn, err
+}
+
 // dialer returns a dial function that sends the address to dialedAddrs and then calls beforeDial.
 func (p *testProxy) dialer(beforeDial func()) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -42,6 +42,7 @@
 	upload            *body.Upload  // streaming body of the request; nil: the body is not streamed
 	mustClose         bool          // the bytes that follow on the connection can't be trusted to begin a new request
 	wroteHeader       bool
+	isFromEndpoint    bool // the response is that of an endpoint
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -66,14 +67,14 @@
 // writeReply writes the response to a request and returns the request's outcome. It panics with http.ErrAbortHandler if a streaming
 // response breaks.
 func (s *Server) writeReply(w *responseWriter, r *http.Request, request *routedRequest, reply eventloop.Reply) metrics.Outcome {
+	w.isFromEndpoint = reply.Response.Stream != nil || reply.Response.Status != 0
 	if reply.Response.Stream != nil {
 		s.streamResponse(w, r, request, reply.Response)
 		return metrics.OK
 	}
 	header := w.Header()
 	content, status := reply.Response.Body, reply.Response.Status
-	isFromEndpoint := status != 0
-	if isFromEndpoint {
+	if w.isFromEndpoint {
 		s.copyResponseHeader(header, reply.Response.Header)
 	} else {
 		status = statusByVerdict[reply.Verdict]
@@ -86,7 +87,7 @@
 	switch {
 	case status == http.StatusNoContent || status == http.StatusNotModified:
 		content = nil
-	case r.Method == http.MethodHead && isFromEndpoint: // the Content-Length is that of the response to a GET, if known
+	case r.Method == http.MethodHead && w.isFromEndpoint: // the Content-Length is that of the response to a GET, if known
 		if length := reply.Response.Header.Get("Content-Length"); length != "" {
 			header.Set("Content-Length", length)
 		}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -130,6 +130,7 @@
 	}
 	writer := &responseWriter{ResponseWriter: w, closesConnections: &s.closesConnections, writeTimeout: s.options.WriteTimeout}
 	defer limitUnreadBody(writer)
+	defer paceLocalResponses(r, writer)()
 	// The framing is checked first, since bytes of a request's body must never be read as another request.
 	if rejected := s.checkFraming(r); rejected != nil {
 		s.rejectInvalid(writer, rejected)
