Requests of clients that have left: hidden closes, and ids that come again

Sixty requests were forwarded within 3 s of a client's close while more was unread than the receive window holds. An unsafe or keyed request ran again when its client left and sent it again under its id (10 of 10), or at the other process of a hot restart.

Cause: the kernel learns of a close only when all before it fits the window. Ids were known only while in flight, in one process.

Change: requests are answered 503 while over 16 KiB are unread behind them, until a read had to wait for the client.

--- a/cmd/tuliprock/hotrestart_test.go
+++ b/cmd/tuliprock/hotrestart_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -147,6 +148,50 @@
 	h.stopLoad(load)
 }
 
+// A request that may have run at one process must not run again when its client sends it to the process that replaces it: neither while
+// the first process still serves it, nor after the client has left.
+func TestIDThatMayHaveRunIsRejectedByBothProcesses(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprint("client leaves: ", leaves), func(t *testing.T) {
+			h := newHotRestartHarness(t, 2)
+			first := h.startDaemon()
+			first.awaitAdmin(t, "check", "SUCCESS")
+			send := func(path string) net.Conn {
+				client, err := net.Dial("tcp", h.listenAddr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { client.Close() })
+				fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: a\r\nReq-Id: once\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", path)
+				return client
+			}
+			arrivals := func() int {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				return h.requestsByID["once"]
+			}
+			client := send("/pay/slow")
+			testpeer.Eventually(t, "the request is at an endpoint", func() bool { return arrivals() == 1 })
+			if leaves {
+				client.Close()
+			}
+			second := h.startDaemon()
+			second.awaitAdmin(t, "check", "SUCCESS")
+			first.awaitAdmin(t, "check", "FAILURE")
+			resp, err := http.ReadResponse(bufio.NewReader(send("/pay")), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := arrivals(); resp.StatusCode != http.StatusConflict || n != 1 {
+				t.Errorf("status %d, and the request arrived %d times at endpoints, want %d and once", resp.StatusCode, n, http.StatusConflict)
+			}
+			client.Close()
+			first.awaitExit(t)
+			second.terminate(t)
+		})
+	}
+}
+
 // If the inherited descriptor is not the socket of the listen address, the daemon reports that in one line and does not start.
 func TestWrongListenDescriptorIsRejected(t *testing.T) {
 	h := newHotRestartHarness(t, 1)
--- a/cmd/tuliprock/hotrestartharness_test.go
+++ b/cmd/tuliprock/hotrestartharness_test.go
@@ -60,6 +60,9 @@
 			if strings.HasPrefix(r.URL.Path, "/look/long") {
 				return h.writeLongResponse(nc)
 			}
+			if r.URL.Path == "/pay/slow" {
+				time.Sleep(2 * time.Second)
+			}
 			time.Sleep(2 * time.Millisecond) // time that the endpoint works on a request
 			_, err := io.WriteString(nc, testpeer.ResponseOK)
 			return err == nil
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -47,6 +47,9 @@
 	// sent; 0 means until the deadline.
 	ResponseTimeout time.Duration
 
+	// HasUniqueID says that no other request ever has this request's id, so that one with the same id is this request again.
+	HasUniqueID bool
+
 	// AcceptsRequests, if not nil, is called by Submit before the balancer decides on the request. If it returns false, the request is
 	// shed at once, with RejectionRetryAfter as its Retry-After.
 	AcceptsRequests     func() bool
@@ -64,14 +67,31 @@
 	lastResponse     upstream.Response    // response of the attempt that ended last; zero if it received none
 	cancelAttempts   []context.CancelFunc // cancel functions of all attempts, by the number of the attempt
 	attemptsInFlight int
+	hasClaim         bool // the request's id is claimed
+	isAbandoned      bool // the client has disconnected before its reply
 	isDeadlineFixed  bool // Deadline counts from the last byte of a streaming body, and does not change any more
 }
 
 // isClientConnected reports whether the client is still connected, as far as is known.
 func (c *Call) isClientConnected() bool { return c.IsClientConnected == nil || c.IsClientConnected() }
 
+// claimDuration is how long an id stays claimed after its request has ended: longer than clients wait for a response, or send a request
+// again.
+const claimDuration = 30 * time.Second
+
+// IDClaims remembers which request ids must not be used again. *idclaim.Table implements it. It must be safe for concurrent use.
+type IDClaims interface {
+	// Claim claims an id for some time. It returns false if the id is claimed already.
+	Claim(id string, duration time.Duration) bool
+	// Keep sets the remaining duration of a claim.
+	Keep(id string, duration time.Duration)
+	// Release ends a claim.
+	Release(id string)
+}
+
 // Submit passes a request to the balancer, which decides on it. If an earlier request still uses the id, the new request gets
-// the verdict Duplicate, so that the two cannot interfere. Submit is called from an event.
+// the verdict Duplicate, so that the two cannot interfere; so does a request that may have run under this id before, if running it twice
+// would not be harmless. Submit is called from an event.
 func (l *Loop) Submit(now time.Duration, c *Call) {
 	if l.calls[c.ID] != nil {
 		c.Replies <- Reply{Verdict: Duplicate}
@@ -81,6 +101,10 @@
 		c.Replies <- Reply{Verdict: Shed, RetryAfter: c.RejectionRetryAfter}
 		return
 	}
+	if !l.claimID(now, c) {
+		c.Replies <- Reply{Verdict: Duplicate}
+		return
+	}
 	l.calls[c.ID] = c
 	l.balancer.Request(now, c.Request)
 	if c.ResponseTimeout > 0 {
@@ -94,6 +118,7 @@
 	if l.calls[c.ID] != c || c.isFinished.Load() {
 		return false
 	}
+	c.isAbandoned = true
 	c.isFinished.Store(true)
 	l.balancer.ClientDisconnected(now, c.ID)
 	l.removeIfFinished(c)
@@ -115,5 +140,31 @@
 func (l *Loop) removeIfFinished(c *Call) {
 	if c.isFinished.Load() && c.attemptsInFlight == 0 && l.calls[c.ID] == c {
 		delete(l.calls, c.ID)
+		l.endClaim(c)
 	}
 }
+
+// claimID claims the id of a request that must not run twice, and reports whether the request may be sent. The claim covers the
+// request's life.
+func (l *Loop) claimID(now time.Duration, c *Call) bool {
+	if l.idClaims == nil || l.idempotentClasses[c.Class] {
+		return true
+	}
+	c.hasClaim = l.idClaims.Claim(l.claimKey(c), max(c.Deadline, c.StreamUntil)-now+claimDuration)
+	return c.hasClaim
+}
+
+// endClaim keeps the claim of a request that has ended for some time, if the request may have run and its client may send it again, and
+// releases the claim otherwise.
+func (l *Loop) endClaim(c *Call) {
+	switch mayHaveRun := c.mayHaveRunAt > 0; {
+	case !c.hasClaim:
+	case mayHaveRun && (c.HasUniqueID || c.isAbandoned):
+		l.idClaims.Keep(l.claimKey(c), claimDuration)
+	default:
+		l.idClaims.Release(l.claimKey(c))
+	}
+}
+
+// claimKey returns the name under which a request's id is claimed: the same id may be used in each pool.
+func (l *Loop) claimKey(c *Call) string { return l.poolName + "/" + c.ID }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -40,6 +40,9 @@
 	requestWatch func() // asks discovery to watch the endpoint list, or to poll it at once
 	log          *slog.Logger
 
+	idClaims           IDClaims                  // ids of requests that must not run twice; nil: only ids in flight are known
+	poolName           string                    // name of the pool, which tells its ids from those of others
+	idempotentClasses  map[string]bool           // names of the classes whose requests may run any number of times
 	idempotencyWindows map[string]time.Duration  // how long endpoints drop duplicates of an idempotency key, by class name
 	calls              map[string]*Call          // calls that are unfinished or have attempts in flight, by request id
 	endpoints          map[string]bool           // set of the ids of listed endpoints
@@ -86,12 +89,16 @@
 		upstream:           u,
 		requestWatch:       requestWatch,
 		log:                log,
+		idempotentClasses:  map[string]bool{},
 		idempotencyWindows: map[string]time.Duration{},
 		calls:              map[string]*Call{},
 		endpoints:          map[string]bool{},
 	}
 	for _, c := range s.Classes {
-		if c.Idempotency == balance.IdempotencyKey {
+		switch c.Idempotency {
+		case balance.Idempotent:
+			l.idempotentClasses[c.Name] = true
+		case balance.IdempotencyKey:
 			l.idempotencyWindows[c.Name] = c.DedupWindow
 		}
 	}
@@ -99,6 +106,12 @@
 	return l
 }
 
+// SetIDClaims makes the Loop refuse ids that are claimed in claims, and claim those of its own requests there, under the name of its pool.
+// It must be called before Run.
+func (l *Loop) SetIDClaims(claims IDClaims, poolName string) {
+	l.idClaims, l.poolName = claims, poolName
+}
+
 // Now returns the current instant by the Loop's clock, which never runs backwards. It may be called from any goroutine.
 func (l *Loop) Now() time.Duration { return l.clock.now() }
 
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/upstream"
 )
 
 // The same start time must always give the same instant, or the balancer would take the endpoint for restarted.
@@ -57,6 +58,10 @@
 	ids []string
 }
 
+func (r *requestRecorder) ClientDisconnected(time.Duration, string) {}
+
+func (r *requestRecorder) Outcome(time.Duration, balance.Outcome) {}
+
 func (r *requestRecorder) Request(_ time.Duration, request balance.Request) {
 	r.ids = append(r.ids, request.ID)
 }
@@ -82,6 +87,62 @@
 	}
 }
 
+// idSet is an IDClaims of claims that never expire.
+type idSet map[string]bool
+
+func (s idSet) Claim(id string, _ time.Duration) bool {
+	isFree := !s[id]
+	s[id] = true
+	return isFree
+}
+
+func (s idSet) Keep(string, time.Duration) {}
+
+func (s idSet) Release(id string) { delete(s, id) }
+
+// A request that may have run must not run again if its client has left and sends it again, unless running it twice is harmless.
+func TestIDMayBeUsedAgainOnlyIfNothingRunsTwice(t *testing.T) {
+	settings := balance.Settings{Classes: []balance.Class{
+		{Name: "read"}, {Name: "keyed", Idempotency: balance.IdempotencyKey}, {Name: "unsafe", Idempotency: balance.NonIdempotent},
+	}}
+	for _, row := range []struct {
+		class        string
+		result       balance.Result // how the only attempt of the first request ends
+		leaves       bool           // the client leaves before it has a reply
+		hasUniqueID  bool
+		isDuplicate  bool
+		describesWhy string
+	}{
+		{"unsafe", balance.Canceled, true, false, true, "a cancelled attempt may have run"},
+		{"keyed", balance.Canceled, true, false, true, "the second request may go to an endpoint that does not know the key"},
+		{"read", balance.Canceled, true, true, false, "an idempotent request may run any number of times"},
+		{"unsafe", balance.NotSent, true, true, false, "the first request has not run"},
+		{"unsafe", balance.OK, false, true, true, "the id names one request only"},
+		{"unsafe", balance.OK, false, false, false, "the client has its reply, and its ids may be used again"},
+	} {
+		t.Run(row.class+": "+row.describesWhy, func(t *testing.T) {
+			l := New(NewBalancer, settings, nil, nil, slog.New(slog.DiscardHandler))
+			l.balancer = &requestRecorder{}
+			l.SetIDClaims(idSet{}, "p")
+			newCall := func() *Call {
+				return &Call{Request: balance.Request{ID: "r", Class: row.class}, Replies: make(chan Reply, 1), HTTPRequest: &upstream.Request{}, HasUniqueID: row.hasUniqueID}
+			}
+			first, second := newCall(), newCall()
+			l.Submit(clockStart, first)
+			first.attemptsInFlight = 1
+			if row.leaves {
+				l.ClientDisconnected(clockStart, first)
+			}
+			l.handleAttemptEnded(clockStart, first, balance.Outcome{ID: "r", Result: row.result}, clockStart, upstream.Response{})
+			l.Submit(clockStart, second)
+			isDuplicate := len(second.Replies) > 0
+			if isDuplicate != row.isDuplicate {
+				t.Errorf("the second request is taken for a duplicate: %v, want %v", isDuplicate, row.isDuplicate)
+			}
+		})
+	}
+}
+
 // The loop may end right after it has made a streaming response a request's reply. The attempt must learn of the reply even then:
 // otherwise it releases the buffer of the response, and closes its connection, while the request's handler reads from them.
 func TestResultOfLastEventIsKnownAfterLoopEnded(t *testing.T) {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -30,6 +30,7 @@
 	writeMeter  atomic.Pointer[body.Meter] // enforces the minimum rate at which the client must receive; nil: no minimum
 	headScanner headScanner                // scans the heads of the requests that are read
 	waits       waitTracker                // when reads had to wait for the client
+	backlog     backlog                    // whether so much is unread that a disconnect may be hidden
 	pacer       localPacer                 // limits how fast requests are answered without an endpoint
 
 	// listener.mu guards the fields below.
--- a/internal/frontend/disconnect.go
+++ b/internal/frontend/disconnect.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,6 +27,33 @@
 	return r.Context().Err() == nil
 }
 
+// maxUnreadBehindRequest is the maximum number of bytes that may wait unread on a connection behind a request that is forwarded. It is
+// far below the smallest receive window that a system offers by default.
+const maxUnreadBehindRequest = 16 << 10
+
+// backlog tells whether a client has sent so much that the kernel may not know whether it has closed the connection: the end of what a
+// client sends comes last, and only when the receive window has space for all before it. It is used by the goroutine that serves the
+// connection, and by no other.
+type backlog struct {
+	since time.Time // when more than maxUnreadBehindRequest bytes were last seen unread; zero: not since all was read
+}
+
+// mayHideDisconnect reports whether the client of a request may have closed the connection without the kernel knowing of it. A backlog
+// lasts until a read has to wait for the client: a window that was full opens only when most of it was read.
+func mayHideDisconnect(r *http.Request) bool {
+	c := connOf(r)
+	switch {
+	case c == nil:
+		return false
+	case c.UnreadBytes() > maxUnreadBehindRequest:
+		c.backlog.since = time.Now()
+		c.waits.isEnabled.Store(true)
+	case c.WaitedUntil().After(c.backlog.since):
+		c.backlog.since = time.Time{}
+	}
+	return !c.backlog.since.IsZero()
+}
+
 // TCP states of the Linux kernel (include/net/tcp_states.h).
 const (
 	stateClose     = 7 // TCP_CLOSE: the connection was reset
--- a/internal/frontend/disconnect_test.go
+++ b/internal/frontend/disconnect_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"tuliprock/internal/body"
 	"tuliprock/internal/testkit/testpeer"
@@ -102,3 +104,37 @@
 		t.Error("isClientConnected returned true for a closed connection, want false")
 	}
 }
+
+// A client may send far more requests than the receive window holds, and close its sending side. The kernel learns of the close only
+// when all of them were read; until then none of them may be forwarded.
+func TestRequestsOfClientWhoseCloseIsHiddenAreNotForwarded(t *testing.T) {
+	var arrivals atomic.Int64
+	e := testpeer.NewEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		arrivals.Add(1)
+		_, err := io.WriteString(conn, testpeer.ResponseOK)
+		return err == nil
+	})
+	p := startProxy(t, proxyOptions{}, e.Addr)
+	client := p.dialClient(t)
+	_ = client.SetDeadline(time.Now().Add(testpeer.Timeout))
+	const count = 2000
+	var requests strings.Builder
+	for i := range count {
+		requests.WriteString(strings.Replace(requestText("look", strconv.Itoa(i), ""), "Host: h", "Host: h\r\nX: "+strings.Repeat("x", 500), 1))
+	}
+	responses := make(chan int, 1)
+	go func() {
+		received, _ := io.ReadAll(client)
+		responses <- strings.Count(string(received), "HTTP/1.1 ")
+	}()
+	io.WriteString(client, requests.String())
+	_ = client.CloseWrite()
+	arrivedBefore := arrivals.Load()
+	got := <-responses // the daemon closes the connection once it has noticed the close
+	if late := arrivals.Load() - arrivedBefore; late > 1 {
+		t.Errorf("%d requests were forwarded after the client's close, want only the one in progress", late)
+	}
+	if got == 0 {
+		t.Error("the client got no response, want some to the requests that were read before the close was noticed")
+	}
+}
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -65,6 +65,7 @@
 			DeadlineHeader: class.DeadlineHeader,
 		},
 		Replies:             make(chan eventloop.Reply, 1),
+		HasUniqueID:         class.RequiresID,
 		AcceptsRequests:     routes.AcceptsRequests,
 		RejectionRetryAfter: routes.RejectionRetryAfter,
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"tuliprock/internal/body"
+	"tuliprock/internal/eventloop"
 	"tuliprock/internal/metrics"
 )
 
@@ -183,6 +184,11 @@
 		s.rejectInvalid(w, rejected)
 		return
 	}
+	if mayHideDisconnect(r) {
+		request.target.Class.Metrics.Count(metrics.Shed)
+		s.writeReply(w, r, request, eventloop.Reply{Verdict: eventloop.Shed, RetryAfter: shedRetryAfter})
+		return
+	}
 	request.call.HTTPRequest.Body = content
 	s.setDeadline(request, arrived)
 	s.dispatch(w, r, request)
--- a/internal/frontend/upload_deadline_test.go
+++ b/internal/frontend/upload_deadline_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -38,19 +39,13 @@
 			endpoint := testpeer.ServeTCP(t, func(conn net.Conn) {
 				defer conn.Close()
 				_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
-				for unread := row.size; unread > 0; {
-					select {
-					case <-released:
-						return
-					case <-time.After(row.endpointPause):
-					}
-					n, err := conn.Read(make([]byte, 16<<10))
-					if err != nil {
-						return
-					}
-					unread -= n
+				r, err := http.ReadRequest(bufio.NewReaderSize(&slowReader{conn, row.endpointPause, released}, 16<<10))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					io.WriteString(conn, testpeer.ResponseOK)
 				}
-				io.WriteString(conn, testpeer.ResponseOK)
 			})
 			p := startProxy(t, proxyOptions{canCancel: true, bodyMemory: body.NewMemoryPool(1 << 20),
 				configure:      func(o *Options) { o.MaxBodyBytes = 64 << 20 },
@@ -62,7 +57,7 @@
 			if row.isChunked {
 				framing, end = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", row.size), "\r\n0\r\n\r\n"
 			}
-			fmt.Fprintf(client, "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: a\r\nReq-Deadline-Ms: %d\r\n%s", deadline.Milliseconds(), framing)
+			_, _ = fmt.Fprintf(client, "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: a\r\nReq-Deadline-Ms: %d\r\n%s", deadline.Milliseconds(), framing)
 			beganAt := time.Now()
 			go func() {
 				for part := row.size / 8; len(content) > 0; content = content[min(part, len(content)):] {
@@ -78,3 +73,19 @@
 		})
 	}
 }
+
+// slowReader reads after a pause each time, until it is released.
+type slowReader struct {
+	io.Reader
+	pause    time.Duration
+	released <-chan struct{}
+}
+
+func (r *slowReader) Read(to []byte) (int, error) {
+	select {
+	case <-r.released:
+		return 0, io.ErrClosedPipe
+	case <-time.After(r.pause):
+	}
+	return r.Reader.Read(to)
+}
--- a/internal/hotrestart/directory.go
+++ b/internal/hotrestart/directory.go
@@ -13,6 +13,7 @@
 //   - tuliprock-NAME.lock: locked during each change of the state.
 //   - tuliprock-NAME.N.live: locked as long as process number N lives. It holds how many descriptors the process uses.
 //   - tuliprock-NAME.state.bad: the latest state that could not be parsed.
+//   - tuliprock-NAME.ids: the ids of requests that may have run (see package idclaim).
 package hotrestart
 
 import (
@@ -88,6 +89,11 @@
 	return d, nil
 }
 
+// IDClaimsPath returns the path of the file in dir that holds the ids of requests which processes of the sidecar may have run.
+func IDClaimsPath(dir, name string) string {
+	return filepath.Join(dir, "tuliprock-"+fileNamePart(name)+".ids")
+}
+
 // Number returns the number of this process, which is greater than the numbers of all processes that joined earlier.
 func (d *Directory) Number() int { return d.processNumber }
 
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -42,8 +42,8 @@
 // newPool starts a pool. Before any other event the balancer gets the last endpoint list that the discovery agent sent
 // before this process started, which the configuration holds; the list is empty if there was none.
 func newPool(
-	newBalancer eventloop.BalancerFactory, spec config.PoolSpec, bodyMemory *body.MemoryPool, registry *metrics.Registry,
-	log *slog.Logger,
+	newBalancer eventloop.BalancerFactory, spec config.PoolSpec, bodyMemory *body.MemoryPool, idClaims eventloop.IDClaims,
+	registry *metrics.Registry, log *slog.Logger,
 ) *pool {
 	p := &pool{spec: spec, log: log, members: discovery.NewMemberCache(endpointset.Options{})}
 	settings := spec.Settings
@@ -68,6 +68,7 @@
 		OnRequestSent:           func() { registry.Attempts.Add(1) },
 	})
 	p.loop = eventloop.New(newBalancer, settings, p.upstream, p.subscribe, log)
+	p.loop.SetIDClaims(idClaims, spec.Name)
 	cached := spec.Source.LastUpdate
 	cached.Full = true // a cached list names all endpoints, and the first update for the balancer must be a full one
 	p.loop.UpdateEndpoints(p.loop.Now(), cached)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,8 @@
 	"tuliprock/internal/config"
 	"tuliprock/internal/eventloop"
 	"tuliprock/internal/frontend"
+	"tuliprock/internal/hotrestart"
+	"tuliprock/internal/idclaim"
 	"tuliprock/internal/metrics"
 )
 
@@ -57,6 +59,7 @@
 	listeners         map[string]*listener // the installed configuration's listeners by listenerKey
 	drainingListeners map[*listener]bool   // listeners that a reload has removed and that have not ended yet
 	runningPools      map[*pool]bool       // installed pools, and removed pools that have not ended yet
+	idClaims          *idclaim.Table       // ids of requests that must not run twice; the processes of a hot restart share it
 	admin             *admin.Server        // server for operators' commands; nil: no address is configured for it
 	adminAddr         string               // address of the admin server, as configured
 	// connectionLimit is the connection limit of each listener and each pool while several processes share the
@@ -82,6 +85,7 @@
 		gracePeriod:           c.TerminationGrace,
 		metrics:               &metrics.Registry{},
 		overrides:             newOverrides(),
+		idClaims:              openIDClaims(c, log),
 		fixedDescriptors:      c.ReservedDescriptors(),
 		listeners:             map[string]*listener{},
 		drainingListeners:     map[*listener]bool{},
@@ -109,6 +113,20 @@
 	return s, nil
 }
 
+// openIDClaims returns the table of the request ids that must not be used again. If other processes may replace this one, all of them
+// share the table.
+func openIDClaims(c config.Service, log *slog.Logger) *idclaim.Table {
+	if c.SharedDir == "" {
+		return idclaim.New()
+	}
+	table, err := idclaim.Open(hotrestart.IDClaimsPath(c.SharedDir, c.Name))
+	if err != nil {
+		log.Error("request ids are not shared with other processes of this sidecar", "error", err)
+		return idclaim.New()
+	}
+	return table
+}
+
 // Addrs returns the addresses of the listeners by their names.
 func (s *Sidecar) Addrs() map[string]net.Addr {
 	s.mu.Lock()
