Upstream: a response that its endpoint is still writing is not given up

Cause: a buffered response had 0.5 s from its first byte to its last.

Change: the limit is for the time without a byte; the request's deadline bounds the whole. The write deadline that net/http sets for its own responses ends when a request is served, so that a late 100 Continue does not fail.

--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -40,9 +40,8 @@
 	MaxResponseBytes         int64            // maximum size of a response body in bytes; 0 for no limit
 	MinStreamRate            body.MinimumRate // slowest pace at which an endpoint may send or receive a streaming body
 
-	// BufferedResponseTimeout limits the time from the first to the last byte of a buffered response; values under 0.5 s are
-	// treated as 0.5 s. The platform's configuration leaves it 0, since 0.5 s is enough for the platform's responses, which take 23 ms
-	// at most.
+	// BufferedResponseTimeout limits the time without a byte within a buffered response; values under 0.5 s are treated as 0.5 s. The
+	// platform's configuration leaves it 0.
 	BufferedResponseTimeout time.Duration
 
 	// DialsRatherThanWaits is whether a request dials a new connection, within the limit MaxConnections, if each idle connection to its
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -129,6 +129,7 @@
 	if isDisconnected {
 		panic(http.ErrAbortHandler)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // that of HTTPServer is only for responses that net/http writes itself
 	writer := &responseWriter{ResponseWriter: w, closesConnections: &s.closesConnections, writeTimeout: s.options.WriteTimeout}
 	defer limitUnreadBody(writer)
 	defer paceLocalResponses(r, writer)()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,7 +15,8 @@
 const (
 	// maxBufferedBodyBytes is the maximum length in bytes of a buffered response's body.
 	maxBufferedBodyBytes = body.BufferSize
-	// minBufferedResponseTimeout is the minimum of Options.BufferedResponseTimeout. It also limits how long a streaming response is
+	// minBufferedResponseTimeout is the minimum of Options.BufferedResponseTimeout: a response that stops is given up early, so that
+	// the request can still be retried, and one that its endpoint is still writing is bounded by the request's deadline. It also limits how long a streaming response is
 	// held back before it is passed to AttemptHooks.ResponseStarted, and how long a response is awaited after a write of the
 	// request has failed.
 	minBufferedResponseTimeout = 500 * time.Millisecond
@@ -36,8 +37,8 @@
 }
 
 // readFinalHead reads the interim responses and the head of the final response. onInterim, if not nil, is called with the status
-// of each interim response. Each head must be complete within bufferedResponseTimeout of its first byte, since an endpoint that
-// sends a malformed head may neither complete it nor close the connection. The read deadline for the final head stays set.
+// of each interim response. Within a head at most bufferedResponseTimeout may pass without a byte, since an endpoint that sends a
+// malformed head may neither complete it nor close the connection. This limit stays set after the final head.
 func (x *exchange) readFinalHead(onInterim func(status int)) (*http.Response, error) {
 	c := x.conn
 	c.byteLimit.N = maxTotalHeadBytes + maxBufferedBodyBytes
@@ -45,7 +46,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		if err := c.SetReadDeadline(time.Now().Add(x.client.bufferedResponseTimeout())); err != nil {
+		if err := c.setIdleTimeout(x.client.bufferedResponseTimeout()); err != nil {
 			return nil, err
 		}
 		resp, err := c.readHead(x.request.Method)
@@ -58,14 +59,14 @@
 		if onInterim != nil {
 			onInterim(resp.StatusCode)
 		}
-		if err := c.SetReadDeadline(time.Time{}); err != nil {
+		if err := c.setIdleTimeout(0); err != nil {
 			return nil, err
 		}
 	}
 	return nil, fmt.Errorf("%w: more than %d interim responses", errMalformed, maxResponseHeads-1)
 }
 
-// bufferedResponseTimeout returns the maximum time from the first byte of a buffered response to its last.
+// bufferedResponseTimeout returns the maximum wait for each byte of a buffered response after its first one.
 func (cl *Client) bufferedResponseTimeout() time.Duration {
 	return max(minBufferedResponseTimeout, cl.options.BufferedResponseTimeout)
 }
@@ -92,7 +93,7 @@
 	}
 	content, err := readBufferedBody(resp)
 	if err == nil {
-		err = x.conn.SetReadDeadline(time.Time{})
+		err = x.conn.setIdleTimeout(0)
 	}
 	if err != nil {
 		return outcome{result: x.conn.failedResponseResult(ctx, err)}
