A process at the address of one that has gone is not taken for it

A keyed request that may have run in one cell ran again in another.

Cause: an attempt's cell was read from the endpoint's present entry; an endpoint was used after the list had named a later one at its address; after a broken connection a keyed request was retried at the same address.

Change: attempts remember cell and zone; of two endpoints at an address the earlier one is gone, and a restarted one gets new connections; keyed requests that may have run avoid endpoints whose connection broke since the list last named them.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -234,8 +234,9 @@
 	if len(req.attempts) == 0 {
 		b.admittedCounter.add(now)
 	}
-	att := attempt{endpoint: ep, incarnation: ep.incarnation, sentAt: now, waitingSince: now, inFlight: true,
-		isTrial: !ep.active, bodyStreaming: req.StreamUntil > 0, overdueAt: b.overdueInstant(now, req, ep)}
+	att := attempt{endpoint: ep, incarnation: ep.incarnation, zone: ep.Zone, cell: ep.Cell,
+		sentAt: now, waitingSince: now, overdueAt: b.overdueInstant(now, req, ep),
+		inFlight: true, isTrial: !ep.active, bodyStreaming: req.StreamUntil > 0}
 	ep.trialInFlight = att.isTrial
 	b.countInFlight(&att, 1)
 	req.attempts, req.isQueued, req.pendingProbes = append(req.attempts, att), false, nil
@@ -252,6 +253,9 @@
 	}
 	att.inFlight, att.mayHaveRun = false, o.Result.MayHaveRun()
 	b.countInFlight(att, -1)
+	if o.Result == Reset || o.Result == ConnectFailed {
+		att.endpoint.mayBeReplaced = true
+	}
 	req.bodyConsumed = req.bodyConsumed || o.BodyConsumed
 	if !att.responseStreaming {
 		if req.StreamUntil > 0 { // the latency excludes the time that the client took to send the body
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -22,6 +22,7 @@
 
 	manuallyEjected bool          // whether operators have ejected the endpoint
 	restoredAt      time.Duration // instant at which operators restored the endpoint; 0: never
+	mayBeReplaced   bool          // whether a connection has broken since the list last named the endpoint
 	incarnation     int           // number of times that operators have restored the endpoint
 
 	inFlight        int // attempts of this balancer that wait for a response of the endpoint
--- a/balance/endpointlist.go
+++ b/balance/endpointlist.go
@@ -20,7 +20,7 @@
 		if ep.kind == nil || entry.StartedAt > ep.StartedAt {
 			startedEndpoints = append(startedEndpoints, ep)
 		}
-		ep.Endpoint = entry
+		ep.Endpoint, ep.mayBeReplaced = entry, false
 		if ep.kind = b.kinds[entry.Kind]; ep.kind == nil {
 			ep.kind = &kind{weight: 1}
 			b.kinds[entry.Kind] = ep.kind
--- a/balance/request.go
+++ b/balance/request.go
@@ -9,6 +9,8 @@
 type attempt struct {
 	endpoint          *endpoint
 	incarnation       int           // incarnation of the endpoint to which the attempt was sent
+	zone              string        // zone of the endpoint when the attempt was sent
+	cell              int           // cell of the endpoint when the attempt was sent
 	sentAt            time.Duration // instant at which Host.Send was called
 	waitingSince      time.Duration // sentAt, or the instant of a streaming request body's last byte
 	overdueAt         time.Duration // instant of the next check whether the attempt takes too long
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -28,10 +28,22 @@
 			continue
 		}
 		if c.Idempotency == NonIdempotent || now+2*b.settings.TimerResolution >= att.sentAt+c.DedupWindow ||
-			c.DedupScope == ScopeZone && att.endpoint.Zone != ep.Zone ||
-			c.DedupScope == ScopeCell && att.endpoint.Cell != ep.Cell {
+			!ep.dropsDuplicatesOf(c, att) {
 			return false
 		}
 	}
 	return true
 }
+
+// dropsDuplicatesOf reports whether the endpoint is certain to know the idempotency keys of the endpoint that
+// the attempt was sent to. A process that may be another one than the list says may belong to another zone or
+// cell, and know none of them.
+func (e *endpoint) dropsDuplicatesOf(c *class, att *attempt) bool {
+	switch c.DedupScope {
+	case ScopeZone:
+		return !e.mayBeReplaced && att.zone == e.Zone
+	case ScopeCell:
+		return !e.mayBeReplaced && att.cell == e.Cell
+	}
+	return true
+}
--- a/internal/eventloop/endpoints.go
+++ b/internal/eventloop/endpoints.go
@@ -7,6 +7,12 @@
 	"tuliprock/internal/discovery"
 )
 
+// listedEndpoint is what the endpoint list says about the process of an endpoint.
+type listedEndpoint struct {
+	address   string
+	startedMs int64 // when the process started, as Unix time in milliseconds; 0: long ago
+}
+
 // UpdateEndpoints passes an update of the endpoint list from discovery to the upstream and to the balancer. It is called from an
 // event.
 func (l *Loop) UpdateEndpoints(now time.Duration, list discovery.ListUpdate) {
@@ -20,8 +26,9 @@
 			l.removeEndpoint(member.ID)
 			continue
 		}
-		l.endpoints[member.ID] = true
-		l.upstream.SetEndpoint(member.ID, member.Addr, member.State == balance.Ready)
+		if replacedID := l.addEndpoint(member); replacedID != "" {
+			update.Endpoints = append(update.Endpoints, balance.Endpoint{ID: replacedID, State: balance.Gone})
+		}
 	}
 	if list.Full {
 		for id := range l.endpoints {
@@ -33,7 +40,35 @@
 	l.balancer.EndpointList(now, update)
 }
 
+// addEndpoint adds an endpoint that is listed and not gone, or updates it. If the address was that of another endpoint whose process
+// started earlier, that one is gone, since the address can have only one process: addEndpoint removes it and returns its id, or the id
+// of the added endpoint if that is the one which started earlier. Otherwise it returns "".
+func (l *Loop) addEndpoint(member discovery.Member) (replacedID string) {
+	previous, isListed := l.endpoints[member.ID]
+	if isListed && previous.startedMs < member.StartedMs {
+		l.upstream.RemoveEndpoint(member.ID) // its connections are those of a process that has ended
+	}
+	otherID := l.idByAddress[member.Addr]
+	other, hasOther := l.endpoints[otherID]
+	hasOther = hasOther && otherID != member.ID && other.address == member.Addr
+	if hasOther && member.StartedMs < other.startedMs {
+		l.removeEndpoint(member.ID)
+		return member.ID
+	}
+	l.endpoints[member.ID] = listedEndpoint{member.Addr, member.StartedMs}
+	l.idByAddress[member.Addr] = member.ID
+	l.upstream.SetEndpoint(member.ID, member.Addr, member.State == balance.Ready)
+	if hasOther && other.startedMs < member.StartedMs {
+		l.removeEndpoint(otherID)
+		return otherID
+	}
+	return ""
+}
+
 func (l *Loop) removeEndpoint(id string) {
+	if address := l.endpoints[id].address; l.idByAddress[address] == id {
+		delete(l.idByAddress, address)
+	}
 	delete(l.endpoints, id)
 	l.upstream.RemoveEndpoint(id)
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -45,7 +45,8 @@
 	idempotentClasses  map[string]bool           // names of the classes whose requests may run any number of times
 	idempotencyWindows map[string]time.Duration  // how long endpoints drop duplicates of an idempotency key, by class name
 	calls              map[string]*Call          // calls that are unfinished or have attempts in flight, by request id
-	endpoints          map[string]bool           // set of the ids of listed endpoints
+	endpoints          map[string]listedEndpoint // listed endpoints, by id
+	idByAddress        map[string]string         // id of the endpoint that was last listed at an address
 	timers             []time.Duration           // instants of the balancer's timers, ascending
 	deferredEvents     []func(now time.Duration) // events that methods of host caused, to be handled after the current event
 }
@@ -92,7 +93,8 @@
 		idempotentClasses:  map[string]bool{},
 		idempotencyWindows: map[string]time.Duration{},
 		calls:              map[string]*Call{},
-		endpoints:          map[string]bool{},
+		endpoints:          map[string]listedEndpoint{},
+		idByAddress:        map[string]string{},
 	}
 	for _, c := range s.Classes {
 		switch c.Idempotency {
