Frontend: connections of stopped clients make way, and places are bounded by memory

Cause: one eviction a call, only new connections caused one, a cancelled one was not replaced, and a stop in a body never made way. The places followed from the descriptors alone, and a buffered body was charged once though its memory is collected later.

Change: connections make way until the limit is kept, by how long they have sent nothing; 12 connections for each MiB; a buffered body counts twice; 2.5 s for a pause in an upload on the platform.

--- a/internal/body/memory_budget.go
+++ b/internal/body/memory_budget.go
@@ -20,6 +20,7 @@
 type MemoryRequest struct {
 	Bytes       int
 	IsStreaming bool // the body is forwarded while it arrives and holds its memory until it ends
+	IsCollected bool // the runtime collects the memory some time after it was released, when another body may have it already
 }
 
 // waitingRequest is a request for memory that has not been granted yet.
--- a/internal/body/memory_budget_test.go
+++ b/internal/body/memory_budget_test.go
@@ -35,7 +35,7 @@
 func (m *budgetModel) step(t *rapid.T) {
 	switch action := rapid.IntRange(0, 3).Draw(t, "action"); {
 	case action <= 1:
-		s := MemoryRequest{rapid.IntRange(0, m.total).Draw(t, "bytes"), rapid.Bool().Draw(t, "streaming")}
+		s := MemoryRequest{Bytes: rapid.IntRange(0, m.total).Draw(t, "bytes"), IsStreaming: rapid.Bool().Draw(t, "streaming")}
 		if !m.budget.Fits(s) {
 			return
 		}
--- a/internal/body/memory_pool.go
+++ b/internal/body/memory_pool.go
@@ -17,12 +17,25 @@
 // ErrExceedsMemory is returned for a request for more memory than the MemoryPool can ever grant.
 var ErrExceedsMemory = errors.New("more than the memory for bodies")
 
+// collectedOverhead is the memory that a body takes whose memory the runtime collects, as a multiple of its length.
+const collectedOverhead = 2
+
+// charged returns the request with the bytes that the budget is charged for it: those of a body whose memory is collected count twice, but
+// for no more than the budget has.
+func (p *MemoryPool) charged(s MemoryRequest) MemoryRequest {
+	if s.IsCollected {
+		s.Bytes = max(s.Bytes, min(collectedOverhead*s.Bytes, p.total))
+	}
+	return s
+}
+
 // bufferRequest is the request for the memory that one streaming body needs: a buffer of BufferSize bytes.
 var bufferRequest = MemoryRequest{Bytes: BufferSize, IsStreaming: true}
 
 // MemoryPool limits the memory that all bodies of a process hold together. It is safe for concurrent use.
 type MemoryPool struct {
 	mu      sync.Mutex
+	total   int // bytes that the budget divides; never changes
 	budget  *MemoryBudget
 	waiters map[int]chan struct{} // channels by the ID of a queued request, each closed when its request is granted
 	buffers sync.Pool             // unused buffers, each a *[]byte of BufferSize bytes
@@ -30,7 +43,7 @@
 
 // NewMemoryPool returns a MemoryPool of total bytes, of which a quarter is reserved for buffered bodies.
 func NewMemoryPool(total int) *MemoryPool {
-	p := &MemoryPool{budget: NewMemoryBudget(total, total/bufferedReserveDivisor), waiters: map[int]chan struct{}{}}
+	p := &MemoryPool{total: total, budget: NewMemoryBudget(total, total/bufferedReserveDivisor), waiters: map[int]chan struct{}{}}
 	p.buffers.New = func() any {
 		b := make([]byte, BufferSize)
 		return &b
@@ -42,10 +55,12 @@
 // memory is granted even if ctx has already ended. The error wraps ErrExceedsMemory for a request that can never be granted.
 // Acquired memory must be released with Release exactly once.
 func (p *MemoryPool) Acquire(ctx context.Context, s MemoryRequest) error {
+	bytes := s.Bytes
+	s = p.charged(s)
 	p.mu.Lock()
 	if !p.budget.Fits(s) {
 		p.mu.Unlock()
-		return fmt.Errorf("%w: %d bytes", ErrExceedsMemory, s.Bytes)
+		return fmt.Errorf("%w: %d bytes", ErrExceedsMemory, bytes)
 	}
 	id, isGranted := p.budget.Acquire(s)
 	if isGranted {
@@ -75,7 +90,7 @@
 func (p *MemoryPool) Release(s MemoryRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.notifyGranted(p.budget.Release(s))
+	p.notifyGranted(p.budget.Release(p.charged(s)))
 }
 
 // notifyGranted wakes the goroutines whose requests were granted. p.mu is held.
--- a/internal/config/listener.go
+++ b/internal/config/listener.go
@@ -26,6 +26,9 @@
 	StreamIdleTimeout time.Duration `toml:"flow_idle"` // longest wait for the client's next byte while a body streams
 	MinStreamRate     int64         `toml:"flow_rate"` // minimum rate of a client's streaming body in bytes per second; 0 for no minimum
 
+	// UploadIdleTimeout is the longest wait for the client's next byte while it sends a streaming body; 0 means StreamIdleTimeout.
+	UploadIdleTimeout time.Duration `toml:"-"`
+
 	Descriptor int `toml:"-"` // descriptor of a listening socket inherited from the platform; 0 to open a socket
 
 	// UsesRawTargets is whether request targets are matched and forwarded without normalization. If it is set, Content-Type is the only
--- a/internal/config/platform_service.go
+++ b/internal/config/platform_service.go
@@ -20,6 +20,7 @@
 	platformHeadTimeout       = 2500 * time.Millisecond
 	platformBodyTimeout       = 2500 * time.Millisecond // enough for a buffered body of 64 kB in several pieces, which takes 1 s at 64 kB per second
 	platformMinStreamRate     = 48 << 10                // bytes per second: 64 kB less a quarter, since the measured rate fluctuates
+	platformUploadIdleTimeout = 2500 * time.Millisecond // how long a client may send nothing, or be slower than its minimum rate, in a streaming body
 	platformStreamIdleTimeout = 5 * time.Second         // how long a peer may send nothing, or be slower than its minimum rate
 	platformMaxStreamDuration = 10 * time.Minute        // longest time that a body may stream: 32 MB at 64 kB per second take 8.5 minutes
 
@@ -79,6 +80,7 @@
 	l.Forwarded, l.RetryAfterFormat = forwardedModeLeave, retryAfterFormatFractionalSeconds
 	l.HeadTimeout, l.BodyTimeout, l.MaxBodyBytes = platformHeadTimeout, platformBodyTimeout, platformMaxBodyBytes
 	l.StreamIdleTimeout, l.MinStreamRate = platformStreamIdleTimeout, platformMinStreamRate
+	l.UploadIdleTimeout = platformUploadIdleTimeout
 	l.MaxHeadBytes = min(l.MaxHeadBytes, max(c.Limits.MemoryMB<<20/platformHeadMemoryDivisor/connectionLimit, minPlatformHeadBytes))
 	return l
 }
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -92,6 +92,9 @@
 	// minConnections is the smallest limit that is computed for the connections to clients, and for those to endpoints, even if it
 	// exceeds the limit on descriptors.
 	minConnections = 8
+	// connectionsPerMiB limits the connections to clients by the memory limit. A connection takes about 35 KiB, and several times the
+	// length of a head that is parsed and forwarded.
+	connectionsPerMiB = 12
 )
 
 // MaxDescriptors returns the maximum number of files and connections that the daemon may have open.
@@ -107,9 +110,13 @@
 }
 
 // ConnectionsWithin returns the maximum number of client connections for a limit on file descriptors. The maximum number of connections
-// to endpoints is the same.
+// to endpoints is the same. A process that gets only a part of the sidecar's descriptors gets the same part of its memory.
 func (s *Service) ConnectionsWithin(descriptors int) int {
-	return max((descriptors-s.ReservedDescriptors()-SpareConnections)/2, minConnections)
+	limit := (descriptors - s.ReservedDescriptors() - SpareConnections) / 2
+	if s.Limits.MemoryMB > 0 && s.Limits.Sockets > 0 {
+		limit = min(limit, connectionsPerMiB*s.Limits.MemoryMB*descriptors/s.Limits.Sockets)
+	}
+	return max(limit, minConnections)
 }
 
 // ReservedDescriptors returns the number of descriptors that are reserved for everything except connections to clients and endpoints.
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -13,7 +13,7 @@
 // reserveBodyMemory reserves the memory for a buffered body. It waits for free memory until the request's deadline, but no longer than
 // BodyTimeout, and fails as MemoryPool.Acquire does. The caller must call release when the memory is no longer used.
 func (s *Server) reserveBodyMemory(r *http.Request, deadline time.Time) (release func(), err error) {
-	size := body.MemoryRequest{Bytes: int(r.ContentLength)}
+	size := body.MemoryRequest{Bytes: int(r.ContentLength), IsCollected: true}
 	if s.options.BodyMemory == nil || size.Bytes <= 0 {
 		return func() {}, nil
 	}
@@ -34,6 +34,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	defer receiveBody(r)()
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout)); err != nil {
 		return nil, newRejection(http.StatusBadRequest, "%w", err)
@@ -61,3 +62,13 @@
 	_, err := io.ReadFull(from, content)
 	return content, err
 }
+
+// receiveBody records that a request's body is read, before any of it is forwarded, until the returned function is called.
+func receiveBody(r *http.Request) (end func()) {
+	c := connOf(r)
+	if c == nil {
+		return func() {}
+	}
+	c.beginBody()
+	return c.endBody
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -34,10 +34,11 @@
 	pacer       localPacer                 // limits how fast requests are answered without an endpoint
 
 	// listener.mu guards the fields below.
-	queue           *list.List    // the listener's queue that holds the connection; nil while a request is open
+	queue           *list.List    // the listener's queue that holds the connection; nil while an open request may have been forwarded
 	element         *list.Element // the connection's element of queue
 	queuedAt        time.Time     // when the connection was added to queue
 	awaitsFirstByte bool          // no byte was received since the last write
+	isReceivingBody bool          // the body of a request is read, and none of it was forwarded
 	isEvicted       bool          // the next read that receives no bytes ends the connection
 	isCounted       bool          // the connection is counted in listener.openCount
 }
@@ -74,11 +75,16 @@
 // recordReceived updates the state of the connection after bytes were read from it. listener.mu is held.
 func (c *clientConn) recordReceived(b []byte) {
 	c.headScanner.scan(b)
-	if c.isEvicted && c.awaitsFirstByte { // a request was received before the eviction took effect, so the connection stays open
+	switch {
+	case c.isReceivingBody:
+		if !c.isEvicted {
+			c.moveTo(&c.listener.receiving)
+		}
+	case c.isEvicted && c.awaitsFirstByte: // a request was received before the eviction took effect, so the connection stays open
 		c.cancelEviction(time.Now().Add(c.listener.headTimeout)) // a new read deadline is needed, since the eviction has overwritten that of net/http
 		c.moveTo(&c.listener.partial)
-	}
-	if c.queue == &c.listener.silent || c.queue == &c.listener.idle {
+		c.listener.evictOverLimit() // another connection makes way in its stead
+	case c.queue != nil:
 		c.moveTo(&c.listener.partial)
 	}
 	c.awaitsFirstByte = false
@@ -94,14 +100,14 @@
 // readsExcessiveHead reports whether net/http is reading a head that has too many fields. While a request is open it is not: net/http
 // then reads a byte ahead, and an error would cancel the open request. listener.mu is held.
 func (c *clientConn) readsExcessiveHead() bool {
-	return c.queue != nil && c.headScanner.hasTooManyFields()
+	return c.queue != nil && !c.isReceivingBody && c.headScanner.hasTooManyFields()
 }
 
 // awaitsRequest reports whether the next byte that is received begins a request.
 func (c *clientConn) awaitsRequest() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.awaitsFirstByte && (c.isEvicted || c.queue != nil)
+	return c.awaitsFirstByte && !c.isReceivingBody && (c.isEvicted || c.queue != nil)
 }
 
 // readAgain repeats a read that has timed out, up to maxFinalReads times. Go's runtime reports a timeout even if bytes have been
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -5,48 +5,69 @@
 	"time"
 )
 
+// Times without a byte from a client after which its connection may make way for another one. Clients normally send a request at once;
+// those that write slowly send something more often.
 const (
-	// minSilentAge is how long a new connection may send nothing before it is the first candidate for eviction. Clients normally
-	// send at once.
-	minSilentAge = 100 * time.Millisecond
-	// minPartialAge is how long a request's head may stay incomplete, from its first byte, before its connection can be evicted.
-	minPartialAge = 300 * time.Millisecond
+	minSilentAge = 100 * time.Millisecond // for a new connection on which nothing was received
+	minHeadAge   = 200 * time.Millisecond // for one on which a part of a head was received
+	minBodyAge   = 400 * time.Millisecond // for one on which a part of a body was received that no endpoint has got a byte of
 )
 
-// evictIfOverLimit evicts one connection if more than maxConnections are open. It prefers a new connection that has sent nothing
-// for minSilentAge, then the connection that has been idle for longest, then any new connection without a byte received, then a
-// connection on which a request's head has been incomplete for minPartialAge. If all connections have an open request, none is
-// evicted; a LimitListener keeps further connections from being accepted. l.mu is held.
-func (l *Listener) evictIfOverLimit() {
-	if l.openCount-l.evictingCount <= l.maxConnections {
-		return
+// evictionRecheckInterval is the time between two checks while more connections are open than allowed. While Accept blocks at the limit
+// of the LimitListener, no new connection causes a check, and connections become candidates as time passes.
+const evictionRecheckInterval = 50 * time.Millisecond
+
+// evictionRule says from when on the connections of a queue may be evicted.
+type evictionRule struct {
+	queue  *list.List
+	minAge time.Duration // least time for which a connection must have been in the queue without a byte received
+}
+
+// evictionRules returns the rules in the order in which connections make way: those that have sent nothing, those without a request
+// that have been idle for longest, and those that have stopped in the middle of a request. Connections with an open request, of which
+// an endpoint may have got a byte, never make way.
+func (l *Listener) evictionRules() []evictionRule {
+	return []evictionRule{{&l.silent, minSilentAge}, {&l.idle, 0}, {&l.partial, minHeadAge}, {&l.receiving, minBodyAge}}
+}
+
+// nextEviction returns the connection that makes way next, or nil if none may be evicted at the given time.
+func nextEviction(now time.Time, rules []evictionRule) *clientConn {
+	for _, rule := range rules {
+		front := rule.queue.Front()
+		if front == nil {
+			continue
+		}
+		if c := front.Value.(*clientConn); now.Sub(c.queuedAt) >= rule.minAge {
+			return c
+		}
 	}
-	for _, candidates := range []struct {
-		queue  *list.List
-		minAge time.Duration
-	}{{&l.silent, minSilentAge}, {&l.idle, 0}, {&l.silent, 0}, {&l.partial, minPartialAge}} {
-		if front := candidates.queue.Front(); front != nil {
-			if c := front.Value.(*clientConn); time.Since(c.queuedAt) >= candidates.minAge {
-				c.evict()
-				return
-			}
+	return nil
+}
+
+// evictOverLimit evicts connections while more than maxConnections are open that are not being evicted. If not enough of them may be
+// evicted now, it checks again soon; a LimitListener keeps further connections from being accepted meanwhile. l.mu is held.
+func (l *Listener) evictOverLimit() {
+	for l.openCount-l.evictingCount > l.maxConnections {
+		c := nextEviction(time.Now(), l.evictionRules())
+		if c == nil {
+			l.scheduleRecheck()
+			return
 		}
+		c.evict()
 	}
-	l.scheduleRecheck()
 }
 
-// scheduleRecheck schedules a call of evictIfOverLimit after minPartialAge. While Accept blocks at the limit of the LimitListener,
-// no new connection causes such a call, and connections with an incomplete head could stay. l.mu is held.
+// scheduleRecheck schedules a call of evictOverLimit. l.mu is held.
 func (l *Listener) scheduleRecheck() {
 	if l.isRecheckScheduled {
 		return
 	}
 	l.isRecheckScheduled = true
-	time.AfterFunc(minPartialAge, func() {
+	time.AfterFunc(evictionRecheckInterval, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.isRecheckScheduled = false
-		l.evictIfOverLimit()
+		l.evictOverLimit()
 	})
 }
 
@@ -67,7 +88,26 @@
 	return l.openCount
 }
 
-// evict makes the read that waits for a request time out, so that net/http closes the connection, unless a request is received first.
+// beginBody records that the body of a request is read from the connection, before any of it is forwarded. Until endBody is called the
+// connection may be evicted if the client stops.
+func (c *clientConn) beginBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.isReceivingBody = true
+	c.moveTo(&c.listener.receiving)
+}
+
+// endBody records that the body was read as far as is needed before the request is forwarded. An eviction that came too late has no
+// effect.
+func (c *clientConn) endBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.isReceivingBody = false
+	c.moveTo(nil)
+	c.cancelEviction(time.Time{})
+}
+
+// evict makes the read that waits for the client time out, so that the connection is closed, unless a request is received first.
 // listener.mu is held.
 func (c *clientConn) evict() {
 	c.moveTo(nil)
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"tuliprock/internal/body"
 	"tuliprock/internal/testkit/testpeer"
 )
 
@@ -113,13 +115,13 @@
 	evictOne := func(l *Listener) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.evictIfOverLimit()
+		l.evictOverLimit()
 	}
 	t.Run("a partial head", func(t *testing.T) {
 		idle := acceptIdleConn(t)
 		idle.listener.maxConnections = 0
 		idle.conn.moveTo(&idle.listener.partial)
-		idle.conn.queuedAt = time.Now().Add(-2 * minPartialAge)
+		idle.conn.queuedAt = time.Now().Add(-2 * minHeadAge)
 		evictOne(idle.listener)
 		if rest, err := io.ReadAll(idle.conn); err != nil || len(rest) > 0 {
 			t.Errorf("the connection delivered %q, error %v, want io.EOF and no bytes", rest, err)
@@ -138,6 +140,48 @@
 	})
 }
 
+// Clients that stop in the middle of a head or of a body, or send nothing, must not keep others from being accepted: their connections
+// make way one after another, also while Accept blocks and no new connection causes a check.
+func TestCrowdOfStoppedClientsMakesWayForOthers(t *testing.T) {
+	const places, crowd = 20, 200
+	for name, start := range map[string]string{
+		"no byte":        "",
+		"half a head":    "GET /look HTTP/1.1\r\nHost: h\r\nReq-Dead",
+		"half a body":    strings.TrimSuffix(requestText("pay", "p", strings.Repeat("x", 1000)), strings.Repeat("x", 500)),
+		"half an upload": strings.TrimSuffix(requestText("pay", "u", strings.Repeat("x", 200_000)), strings.Repeat("x", 190_000)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := testpeer.NewEndpoint(t, testpeer.RespondWith(testpeer.ResponseOK, true))
+			p := startProxy(t, proxyOptions{maxConnections: places, bodyMemory: body.NewMemoryPool(16 << 20)}, e.Addr)
+			for range crowd {
+				io.WriteString(p.dialClient(t), start)
+			}
+			client := p.dialClient(t)
+			// Each place can be taken anew after minBodyAge at the latest, so the crowd makes way within this time.
+			const bound = (crowd/places + 2) * (minBodyAge + 2*evictionRecheckInterval)
+			_ = client.SetDeadline(time.Now().Add(bound))
+			io.WriteString(client, requestText("look", "usual", ""))
+			if status := readStatus(client); status != http.StatusOK {
+				t.Errorf("status %d within %v, want 200", status, bound)
+			}
+		})
+	}
+}
+
+// A body that is complete when its connection is evicted must be served: the request was taken.
+func TestCompleteBodyCancelsEviction(t *testing.T) {
+	idle := acceptIdleConn(t)
+	idle.conn.beginBody()
+	idle.listener.mu.Lock()
+	idle.conn.evict()
+	idle.listener.mu.Unlock()
+	idle.conn.endBody()
+	io.WriteString(idle.client, "r")
+	if n, err := idle.conn.Read(make([]byte, 1)); n != 1 || err != nil || idle.listener.evictingCount != 0 {
+		t.Errorf("%d bytes read, error %v, %d connections being evicted, want 1, none and 0", n, err, idle.listener.evictingCount)
+	}
+}
+
 // net/http reads a pipelined request from its buffer, so no read on the connection cancels an eviction. Once net/http reports the
 // request's head as complete, an earlier eviction must not end the connection.
 func TestPipelinedRequestCancelsEviction(t *testing.T) {
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -12,8 +12,8 @@
 // the part of the grace period that remains when Listener.Shutdown is called.
 const drainPollInterval = 10 * time.Millisecond
 
-// Listener tracks the connections of clients and evicts those without an open request: one at a time if there are too many, and all of
-// them at shutdown.
+// Listener tracks the connections of clients and evicts those without an open request: as many as are too many, and all of them at
+// shutdown.
 //
 // It never closes a connection on which a request has just been received. The Shutdown and SetKeepAlivesEnabled methods of
 // http.Server may close such a connection, and so may a ConnState hook that closes idle connections: net/http reports a connection
@@ -28,12 +28,13 @@
 	maxConnections     int        // number of connections beyond which those without an open request are evicted
 	openCount          int        // number of connections that are accepted and not yet closed
 	evictingCount      int        // number of connections that are marked for eviction and not yet closed
-	isRecheckScheduled bool       // a timer will call evictIfOverLimit
+	isRecheckScheduled bool       // a timer will call evictOverLimit
 
-	// The queues hold the connections without an open request, the connection that was queued first at the front.
-	silent  list.List // new connections on which no byte was received
-	idle    list.List // connections on which no byte was received since a response was written
-	partial list.List // connections on which a part of a request's head was received
+	// The queues hold the connections that may be evicted, the one of which nothing was heard for longest at the front.
+	silent    list.List // new connections on which no byte was received
+	idle      list.List // connections on which no byte was received since a response was written
+	partial   list.List // connections on which a part of a request's head was received
+	receiving list.List // connections on which a part of a request's body was received, and none of it was forwarded
 }
 
 // NewListener wraps a listener. While more than maxConnections connections are open, it evicts connections without an open request.
@@ -54,7 +55,7 @@
 	defer l.mu.Unlock()
 	l.openCount++
 	c.moveTo(&l.silent)
-	l.evictIfOverLimit()
+	l.evictOverLimit()
 	return c, nil
 }
 
@@ -73,7 +74,7 @@
 		} else {
 			c.moveTo(&l.partial)
 		}
-		l.evictIfOverLimit()
+		l.evictOverLimit()
 	case http.StateClosed, http.StateHijacked:
 		c.moveTo(nil)
 		if c.isEvicted {
@@ -92,10 +93,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxConnections = maxConnections
-	for evictingCountBefore := -1; evictingCountBefore != l.evictingCount; {
-		evictingCountBefore = l.evictingCount
-		l.evictIfOverLimit()
-	}
+	l.evictOverLimit()
 }
 
 // ConnectionCount returns the number of accepted connections that are not yet closed, including those marked for eviction.
--- a/internal/frontend/proxy_test.go
+++ b/internal/frontend/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -37,6 +38,7 @@
 	bodyMemory *body.MemoryPool // memory for bodies; nil turns streaming off, so that all bodies are buffered
 	beforeDial func()           // called before each dial of an endpoint, if not nil
 
+	maxConnections  int // number of clients' connections beyond which connections are evicted; 0: 1000
 	sendBufferBytes int // size of the send buffers of clients' connections; 0: the system's
 
 	configure      func(*Options) // changes the options of the Server, if not nil
@@ -99,7 +101,8 @@
 	if options.sendBufferBytes > 0 {
 		tcpListener = smallBufferListener{tcpListener, options.sendBufferBytes}
 	}
-	listener := NewListener(NewLimitListener(tcpListener, 1000), 1000, testpeer.Timeout)
+	maxConnections := cmp.Or(options.maxConnections, 1000)
+	listener := NewListener(NewLimitListener(tcpListener, maxConnections+2), maxConnections, testpeer.Timeout)
 	server := p.server.HTTPServer(listener.Track)
 	ctx, stop := context.WithCancel(context.Background())
 	var goroutines sync.WaitGroup
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -56,6 +56,9 @@
 	BodyMemory *body.MemoryPool // memory for bodies; nil: bodies are never streamed, and a request with a body needs a Content-Length
 	MinRate    body.MinimumRate // minimum rate at which clients must send and receive streaming bodies
 	Metrics    *metrics.Registry
+
+	// UploadIdleTimeout takes the place of MinRate.IdleTimeout for bodies that clients send; 0 means that of MinRate.
+	UploadIdleTimeout time.Duration
 }
 
 // Server reads the requests of clients, submits them to the event loop of their pool and writes the responses. It is safe
--- a/internal/frontend/streaming.go
+++ b/internal/frontend/streaming.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -64,7 +65,7 @@
 	}()
 	isComplete := false
 	if !upload.ExpectsContinue {
-		if isComplete, err = s.fillUpload(upload); err != nil {
+		if isComplete, err = s.fillUpload(r, upload); err != nil {
 			s.rejectUpload(w, request, err)
 			return
 		}
@@ -91,8 +92,11 @@
 		MaxBytes:        s.options.MaxBodyBytes,
 		Trailer:         func() http.Header { return r.Trailer },
 		ExpectsContinue: expectsContinue(r),
-		MinimumRate:     s.options.MinRate,
-		ArrivedAt:       arrived,
+		MinimumRate: body.MinimumRate{
+			IdleTimeout:    cmp.Or(s.options.UploadIdleTimeout, s.options.MinRate.IdleTimeout),
+			BytesPerSecond: s.options.MinRate.BytesPerSecond,
+		},
+		ArrivedAt: arrived,
 	}
 	if c := connOf(r); c != nil {
 		c.waits.isEnabled.Store(true)
@@ -103,7 +107,8 @@
 
 // fillUpload reads at least the first body.PrefixSize bytes of a body, or to its end, and reports whether the end was reached. It fails
 // if AbortStreams is called.
-func (s *Server) fillUpload(upload *body.Upload) (isComplete bool, err error) {
+func (s *Server) fillUpload(r *http.Request, upload *body.Upload) (isComplete bool, err error) {
+	defer receiveBody(r)()
 	defer context.AfterFunc(s.streamContext, upload.Stop)()
 	return upload.ReadPrefix()
 }
--- a/internal/frontend/upload_deadline_test.go
+++ b/internal/frontend/upload_deadline_test.go
@@ -38,7 +38,9 @@
 			t.Cleanup(func() { close(released) })
 			endpoint := testpeer.ServeTCP(t, func(conn net.Conn) {
 				defer conn.Close()
-				_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+				if row.endpointPause > 0 { // a full buffer of this size is read in bursts, with pauses of the system between them
+					_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+				}
 				r, err := http.ReadRequest(bufio.NewReaderSize(&slowReader{conn, row.endpointPause, released}, 16<<10))
 				if err != nil {
 					return
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -70,6 +71,7 @@
 		BodyMemory:           o.bodyMemory,
 		Metrics:              o.metrics,
 		MinRate:              body.MinimumRate{IdleTimeout: spec.StreamIdleTimeout, BytesPerSecond: spec.MinStreamRate},
+		UploadIdleTimeout:    cmp.Or(spec.UploadIdleTimeout, spec.StreamIdleTimeout),
 	}, o.routes, o.log)
 	l.server = l.frontend.HTTPServer(l.frontendListener.Track)
 	return l
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -47,7 +47,8 @@
 	BodyMemory *body.MemoryPool
 	// MinimumRate is the rate that endpoints must keep while they send or receive streaming bodies.
 	MinimumRate body.MinimumRate
-	// BufferedResponseTimeout is the maximum time without a byte within a buffered response. Values below 500 ms mean 500 ms.
+	// BufferedResponseTimeout is the maximum time without a byte within a buffered response, and the time by which it may be behind
+	// MinimumRate.BytesPerSecond. Values below 500 ms mean 500 ms.
 	BufferedResponseTimeout time.Duration
 	// MaxResponseBody is the maximum length in bytes of a response's body; 0 means no maximum.
 	MaxResponseBody int64
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,19 +8,21 @@
 	"net"
 	"syscall"
 	"time"
+
+	"tuliprock/internal/body"
 )
 
 // conn is one connection to an endpoint. It carries one attempt at a time.
 type conn struct {
 	net.Conn
 	rawConn             syscall.RawConn
-	idleTimeout         *idleTimeoutReader // limits the wait for each byte of a buffered response; nil in tests that need no limit
-	byteLimit           *io.LimitedReader  // limits the bytes that are read for one response
-	reader              *bufio.Reader      // reads from byteLimit
-	pool                *connectionPool    // pool to which the connection returns after an attempt
-	address             string             // address that was dialed
-	idleSince           time.Time          // time of the last response or, if there was none, of the first return to the pool; zero before both
-	closesAfterResponse bool               // whether the last response head had the option "Connection: close"
+	pace                *paceReader       // enforces the minimum rate of a buffered response; nil in tests that need none
+	byteLimit           *io.LimitedReader // limits the bytes that are read for one response
+	reader              *bufio.Reader     // reads from byteLimit
+	pool                *connectionPool   // pool to which the connection returns after an attempt
+	address             string            // address that was dialed
+	idleSince           time.Time         // time of the last response or, if there was none, of the first return to the pool; zero before both
+	closesAfterResponse bool              // whether the last response head had the option "Connection: close"
 }
 
 func newConn(nc net.Conn, p *connectionPool, address string) (*conn, error) {
@@ -28,44 +30,50 @@
 	if err != nil {
 		return nil, err
 	}
-	idleTimeout := &idleTimeoutReader{conn: nc}
-	limitedReader := &io.LimitedReader{R: idleTimeout}
+	pace := &paceReader{conn: nc}
+	limitedReader := &io.LimitedReader{R: pace}
 	return &conn{
-		Conn:        nc,
-		rawConn:     rawConn,
-		idleTimeout: idleTimeout,
-		byteLimit:   limitedReader,
-		reader:      bufio.NewReaderSize(limitedReader, maxHeadBytes),
-		pool:        p,
-		address:     address,
+		Conn:      nc,
+		rawConn:   rawConn,
+		pace:      pace,
+		byteLimit: limitedReader,
+		reader:    bufio.NewReaderSize(limitedReader, maxHeadBytes),
+		pool:      p,
+		address:   address,
 	}, nil
 }
 
-// idleTimeoutReader reads from a connection to an endpoint. While a timeout is set, each byte that arrives extends the connection's read
-// deadline, so that an endpoint which is still writing is not cut off. One goroutine at a time may use it.
-type idleTimeoutReader struct {
-	conn    net.Conn
-	timeout time.Duration // 0: the read deadline stays as it is
+// paceReader reads from a connection to an endpoint. While a minimum rate is set, the connection's read deadline moves on with each byte
+// that arrives, so that an endpoint which is still writing is not cut off. One goroutine at a time may use it.
+type paceReader struct {
+	conn  net.Conn
+	meter *body.Meter // nil: the read deadline stays as it is
 }
 
 // Read implements io.Reader.
-func (r *idleTimeoutReader) Read(to []byte) (int, error) {
+func (r *paceReader) Read(to []byte) (int, error) {
+	startedAt := time.Now()
 	n, err := r.conn.Read(to)
-	if n > 0 && r.timeout > 0 {
-		_ = r.conn.SetReadDeadline(time.Now().Add(r.timeout)) // fails only on a closed connection, on which the next read fails, too
+	if n > 0 && r.meter != nil {
+		now := time.Now()
+		r.meter.Record(n, now.Sub(startedAt))
+		_ = r.conn.SetReadDeadline(now.Add(r.meter.MaxWait())) // fails only on a closed connection, on which the next read fails, too
 	}
 	return n, err
 }
 
-// setIdleTimeout limits the wait for the next byte of the response, and for each one after it. A timeout of 0 removes the limit.
-func (c *conn) setIdleTimeout(timeout time.Duration) error {
-	if c.idleTimeout != nil {
-		c.idleTimeout.timeout = timeout
+// setMinimumRate makes the endpoint keep a minimum rate from now on. The zero MinimumRate removes the limit.
+func (c *conn) setMinimumRate(rate body.MinimumRate) error {
+	var meter *body.Meter
+	deadline := time.Time{}
+	if rate.IdleTimeout > 0 {
+		m := body.NewMeter(rate)
+		meter, deadline = &m, time.Now().Add(rate.IdleTimeout)
 	}
-	if timeout == 0 {
-		return c.SetReadDeadline(time.Time{})
+	if c.pace != nil {
+		c.pace.meter = meter
 	}
-	return c.SetReadDeadline(time.Now().Add(timeout))
+	return c.SetReadDeadline(deadline)
 }
 
 // dial establishes a connection that reserve has already counted in openCount. If dial fails, it decrements openCount.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -37,8 +37,8 @@
 }
 
 // readFinalHead reads the interim responses and the head of the final response. onInterim, if not nil, is called with the status
-// of each interim response. Within a head at most bufferedResponseTimeout may pass without a byte, since an endpoint that sends a
-// malformed head may neither complete it nor close the connection. This limit stays set after the final head.
+// of each interim response. From its first byte on each head must come at bufferedResponseRate, since an endpoint that sends a malformed
+// head may neither complete it nor close the connection. This limit stays set after the final head.
 func (x *exchange) readFinalHead(onInterim func(status int)) (*http.Response, error) {
 	c := x.conn
 	c.byteLimit.N = maxTotalHeadBytes + maxBufferedBodyBytes
@@ -46,7 +46,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		if err := c.setIdleTimeout(x.client.bufferedResponseTimeout()); err != nil {
+		if err := c.setMinimumRate(x.client.bufferedResponseRate()); err != nil {
 			return nil, err
 		}
 		resp, err := c.readHead(x.request.Method)
@@ -59,16 +59,19 @@
 		if onInterim != nil {
 			onInterim(resp.StatusCode)
 		}
-		if err := c.setIdleTimeout(0); err != nil {
+		if err := c.setMinimumRate(body.MinimumRate{}); err != nil {
 			return nil, err
 		}
 	}
 	return nil, fmt.Errorf("%w: more than %d interim responses", errMalformed, maxResponseHeads-1)
 }
 
-// bufferedResponseTimeout returns the maximum wait for each byte of a buffered response after its first one.
-func (cl *Client) bufferedResponseTimeout() time.Duration {
-	return max(minBufferedResponseTimeout, cl.options.BufferedResponseTimeout)
+// bufferedResponseRate returns the minimum rate of a buffered response from its first byte on.
+func (cl *Client) bufferedResponseRate() body.MinimumRate {
+	return body.MinimumRate{
+		IdleTimeout:    max(minBufferedResponseTimeout, cl.options.BufferedResponseTimeout),
+		BytesPerSecond: cl.options.MinimumRate.BytesPerSecond,
+	}
 }
 
 // checkFraming rejects a response whose head announces a body that is too long or whose end can't be recognized. A body without
@@ -93,7 +96,7 @@
 	}
 	content, err := readBufferedBody(resp)
 	if err == nil {
-		err = x.conn.setIdleTimeout(0)
+		err = x.conn.setMinimumRate(body.MinimumRate{})
 	}
 	if err != nil {
 		return outcome{result: x.conn.failedResponseResult(ctx, err)}
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -63,7 +63,7 @@
 // this time, the request can still be retried, and if the body ends, the response is returned as a buffered one. Server-sent events
 // are not held back.
 func (x *exchange) streamResponse(ctx context.Context, resp *http.Response) outcome {
-	_ = x.conn.setIdleTimeout(0) // the Stream sets deadlines of its own; fails only on a closed connection, on which the next read fails, too
+	_ = x.conn.setMinimumRate(body.MinimumRate{}) // the Stream sets deadlines of its own; fails only on a closed connection, on which the next read fails, too
 	buffer, err := x.acquireBuffer(ctx)
 	if err != nil {
 		return outcome{result: balance.Canceled} // balance.Canceled does not count against the endpoint
--- a/internal/upstream/response_stream_test.go
+++ b/internal/upstream/response_stream_test.go
@@ -27,13 +27,13 @@
 func newPipeExchange(t *testing.T) *pipeExchange {
 	t.Helper()
 	ours, endpoint := net.Pipe()
-	idleTimeout := &idleTimeoutReader{conn: ours}
-	limitedReader := &io.LimitedReader{R: idleTimeout}
+	pace := &paceReader{conn: ours}
+	limitedReader := &io.LimitedReader{R: pace}
 	pool := body.NewMemoryPool(2 * body.BufferSize)
 	return &pipeExchange{
 		exchange: &exchange{
 			client:        New(Options{BodyMemory: pool, MinimumRate: body.MinimumRate{IdleTimeout: testIdleTimeout}}),
-			conn:          &conn{Conn: ours, idleTimeout: idleTimeout, byteLimit: limitedReader, reader: bufio.NewReaderSize(limitedReader, maxHeadBytes)},
+			conn:          &conn{Conn: ours, pace: pace, byteLimit: limitedReader, reader: bufio.NewReaderSize(limitedReader, maxHeadBytes)},
 			request:       &Request{Method: http.MethodPost, Target: "/c", Host: "h", Header: http.Header{}},
 			detachContext: func() bool { return true },
 		},
