--- a/cmd/tuliprock/hotrestart_test.go
+++ b/cmd/tuliprock/hotrestart_test.go
@@ -162,7 +162,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(func() { client.Close() })
-				fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: a\r\nReq-Id: once\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", path)
+				_, _ = fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: a\r\nReq-Id: once\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", path)
 				return client
 			}
 			arrivals := func() int {
