Evictions spare what was received; a broken connection counts for 10 s

Cause (found by reading the change again): an eviction ends a read whose bytes the kernel already has, since Go reports a timeout without looking; on a busy processor the rest of a head or body could be lost so. And an endpoint whose connection had broken was left out of keyed retries until the list named it, which a quiet list does not.

Change: a timed-out read on an evicted connection looks once more, and bytes cancel the eviction; another connection makes way. A broken connection counts for 10 s.

Measured: TestReceivedRestOfRequestIsReadDespiteEviction; frontend and balance pass.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -254,7 +254,7 @@
 	att.inFlight, att.mayHaveRun = false, o.Result.MayHaveRun()
 	b.countInFlight(att, -1)
 	if o.Result == Reset || o.Result == ConnectFailed {
-		att.endpoint.mayBeReplaced = true
+		att.endpoint.brokenAt = now
 	}
 	req.bodyConsumed = req.bodyConsumed || o.BodyConsumed
 	if !att.responseStreaming {
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -22,7 +22,7 @@
 
 	manuallyEjected bool          // whether operators have ejected the endpoint
 	restoredAt      time.Duration // instant at which operators restored the endpoint; 0: never
-	mayBeReplaced   bool          // whether a connection has broken since the list last named the endpoint
+	brokenAt        time.Duration // instant at which a connection broke; 0: none since the list named it
 	incarnation     int           // number of times that operators have restored the endpoint
 
 	inFlight        int // attempts of this balancer that wait for a response of the endpoint
@@ -35,6 +35,15 @@
 	reportedLoadAt time.Duration // instant of the last load report; 0: there is none
 }
 
+// maxListDelay is the longest time until discovery reports that the process of an endpoint was replaced.
+const maxListDelay = 10 * time.Second
+
+// mayBeReplaced reports whether the process at the endpoint's address may be another one than the list says:
+// a connection has broken, and the list may not say yet what became of the process.
+func (e *endpoint) mayBeReplaced(now time.Duration) bool {
+	return e.brokenAt > 0 && now-e.brokenAt < maxListDelay
+}
+
 // isAvailable reports whether the endpoint may get new attempts.
 func (e *endpoint) isAvailable() bool { return e.State == Ready && !e.manuallyEjected }
 
--- a/balance/endpointlist.go
+++ b/balance/endpointlist.go
@@ -20,7 +20,7 @@
 		if ep.kind == nil || entry.StartedAt > ep.StartedAt {
 			startedEndpoints = append(startedEndpoints, ep)
 		}
-		ep.Endpoint, ep.mayBeReplaced = entry, false
+		ep.Endpoint, ep.brokenAt = entry, 0
 		if ep.kind = b.kinds[entry.Kind]; ep.kind == nil {
 			ep.kind = &kind{weight: 1}
 			b.kinds[entry.Kind] = ep.kind
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		if c.Idempotency == NonIdempotent || now+2*b.settings.TimerResolution >= att.sentAt+c.DedupWindow ||
-			!ep.dropsDuplicatesOf(c, att) {
+			!ep.dropsDuplicatesOf(now, c, att) {
 			return false
 		}
 	}
@@ -38,12 +38,12 @@
 // dropsDuplicatesOf reports whether the endpoint is certain to know the idempotency keys of the endpoint that
 // the attempt was sent to. A process that may be another one than the list says may belong to another zone or
 // cell, and know none of them.
-func (e *endpoint) dropsDuplicatesOf(c *class, att *attempt) bool {
+func (e *endpoint) dropsDuplicatesOf(now time.Duration, c *class, att *attempt) bool {
 	switch c.DedupScope {
 	case ScopeZone:
-		return !e.mayBeReplaced && att.zone == e.Zone
+		return !e.mayBeReplaced(now) && att.zone == e.Zone
 	case ScopeCell:
-		return !e.mayBeReplaced && att.cell == e.Cell
+		return !e.mayBeReplaced(now) && att.cell == e.Cell
 	}
 	return true
 }
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -54,7 +54,7 @@
 	endWait := c.waits.begin(c.Conn)
 	n, err := c.Conn.Read(b)
 	endWait(n)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsRequest() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveReceived() {
 		n, err = c.readAgain(b)
 	}
 	c.listener.mu.Lock()
@@ -72,20 +72,20 @@
 	return n, err
 }
 
-// recordReceived updates the state of the connection after bytes were read from it. listener.mu is held.
+// recordReceived updates the state of the connection after bytes were read from it. Bytes that were received before an eviction took
+// effect cancel it: they may complete a request. listener.mu is held.
 func (c *clientConn) recordReceived(b []byte) {
 	c.headScanner.scan(b)
+	wasEvicted := c.isEvicted
+	c.cancelEviction(time.Now().Add(c.listener.headTimeout)) // a new read deadline is needed, since the eviction has overwritten that of net/http
 	switch {
 	case c.isReceivingBody:
-		if !c.isEvicted {
-			c.moveTo(&c.listener.receiving)
-		}
-	case c.isEvicted && c.awaitsFirstByte: // a request was received before the eviction took effect, so the connection stays open
-		c.cancelEviction(time.Now().Add(c.listener.headTimeout)) // a new read deadline is needed, since the eviction has overwritten that of net/http
+		c.moveTo(&c.listener.receiving)
+	case c.queue != nil || wasEvicted:
 		c.moveTo(&c.listener.partial)
+	}
+	if wasEvicted {
 		c.listener.evictOverLimit() // another connection makes way in its stead
-	case c.queue != nil:
-		c.moveTo(&c.listener.partial)
 	}
 	c.awaitsFirstByte = false
 }
@@ -103,11 +103,12 @@
 	return c.queue != nil && !c.isReceivingBody && c.headScanner.hasTooManyFields()
 }
 
-// awaitsRequest reports whether the next byte that is received begins a request.
-func (c *clientConn) awaitsRequest() bool {
+// mayHaveReceived reports whether bytes of a request may have been received though a read has timed out: because of an eviction, or while
+// the connection waits for its next request.
+func (c *clientConn) mayHaveReceived() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.awaitsFirstByte && !c.isReceivingBody && (c.isEvicted || c.queue != nil)
+	return c.isEvicted || c.awaitsFirstByte && !c.isReceivingBody && c.queue != nil
 }
 
 // readAgain repeats a read that has timed out, up to maxFinalReads times. Go's runtime reports a timeout even if bytes have been
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -168,6 +168,32 @@
 	}
 }
 
+// The rest of a request that the kernel has received but the process has not read yet must not be lost when its connection is evicted:
+// on a busy processor the reading may be late, not the client.
+func TestReceivedRestOfRequestIsReadDespiteEviction(t *testing.T) {
+	for name, begin := range map[string]func(c *clientConn){
+		"a head": func(c *clientConn) { c.moveTo(&c.listener.partial) },
+		"a body": (*clientConn).beginBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			idle := acceptIdleConn(t)
+			io.WriteString(idle.client, "first")
+			if n, err := io.ReadFull(idle.conn, make([]byte, 5)); n != 5 || err != nil {
+				t.Fatalf("%d bytes read, error %v, want 5 and none", n, err)
+			}
+			begin(idle.conn)
+			io.WriteString(idle.client, "rest")
+			testpeer.Eventually(t, "the rest is received", func() bool { return idle.conn.UnreadBytes() == 4 })
+			idle.listener.mu.Lock()
+			idle.conn.evict()
+			idle.listener.mu.Unlock()
+			if n, err := io.ReadFull(idle.conn, make([]byte, 4)); n != 4 || err != nil || idle.listener.evictingCount != 0 {
+				t.Errorf("%d bytes read, error %v, %d connections being evicted, want 4, none and 0", n, err, idle.listener.evictingCount)
+			}
+		})
+	}
+}
+
 // A body that is complete when its connection is evicted must be served: the request was taken.
 func TestCompleteBodyCancelsEviction(t *testing.T) {
 	idle := acceptIdleConn(t)
