Log attempts and requests that fail; metrics of memory and connections

Each failed attempt and each request that ends without a response now has a line (at most 20 a second for each pool, omitted ones are counted), and the metrics show resident memory, heap, stacks, bodies and connections by state. The tests of eventloop, frontend, body and sidecar pass.

--- a/balance/api.go
+++ b/balance/api.go
@@ -200,6 +200,20 @@
 	NotSent                     // the host did not send the attempt
 )
 
+// resultNames are the names of the results in the log.
+var resultNames = [...]string{
+	OK: "ok", ErrorResponse: "error_response", Rejected: "rejected", TimedOut: "timed_out", ConnectFailed: "connect_failed",
+	Reset: "reset", Canceled: "canceled", NotSent: "not_sent",
+}
+
+// String returns the name of the result in the log.
+func (r Result) String() string {
+	if r < 0 || int(r) >= len(resultNames) {
+		return "unknown"
+	}
+	return resultNames[r]
+}
+
 // MayHaveRun reports whether an attempt with this result may have taken effect.
 func (r Result) MayHaveRun() bool { return r != Rejected && r != ConnectFailed && r != NotSent }
 
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -115,6 +115,13 @@
 	return u.isComplete
 }
 
+// ReceivedBytes returns how many bytes of the body have arrived.
+func (u *Upload) ReceivedBytes() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.receivedBytes
+}
+
 // Failed returns a channel that is closed when the body could not be read. Err then returns the reason.
 func (u *Upload) Failed() <-chan struct{} { return u.failed }
 
--- a/internal/eventloop/attempt.go
+++ b/internal/eventloop/attempt.go
@@ -67,7 +67,7 @@
 
 // bodyWrittenAt returns the earliest instant at which the client of a request may have written the last byte of the request's body.
 func (l *Loop) bodyWrittenAt(now time.Duration, c *Call) time.Duration {
-	if upload := c.HTTPRequest.Upload; upload != nil {
+	if upload := c.upload(); upload != nil {
 		return min(l.At(upload.ClientUnfinishedAt(time.Now())), now)
 	}
 	return now
@@ -85,13 +85,14 @@
 		time.AfterFunc(wait, func() { l.Post(func(now time.Duration) { l.watchUpload(now, c) }) })
 		return
 	}
+	c.isBodyOverdue = true
 	l.balancer.BodyOverdue(now, c.ID, writtenAt)
 }
 
 // attemptRequest returns the request as the next attempt forwards it, and the instant by which the attempt must end. Once the body was
 // received completely, the attempt gets only the time that is left of the request's deadline, and tells its endpoint so.
 func (l *Loop) attemptRequest(now time.Duration, c *Call) (request *upstream.Request, endsAt time.Duration) {
-	if upload := c.HTTPRequest.Upload; upload != nil && upload.IsComplete() {
+	if upload := c.upload(); upload != nil && upload.IsComplete() {
 		l.fixDeadline(now, c)
 	}
 	if !c.isDeadlineFixed {
@@ -119,7 +120,7 @@
 func (l *Loop) handleAttemptEnded(now time.Duration, c *Call, outcome balance.Outcome, sentAt time.Duration, response upstream.Response) {
 	c.attemptsInFlight--
 	c.lastResponse = response
-	if upload := c.HTTPRequest.Upload; upload != nil {
+	if upload := c.upload(); upload != nil {
 		outcome.BodyConsumed = upload.IsConsumed()
 		if upload.Err() != nil { // the client failed to send its body, which ends the request
 			l.ClientDisconnected(now, c)
@@ -132,6 +133,8 @@
 		c.mayHaveRunAt = sentAt
 	}
 	outcome.Latency, outcome.IsFinal = now-sentAt, c.isFinished.Load()
+	c.lastOutcome = outcome
+	l.logAttempt(c, outcome)
 	if outcome.Result == balance.OK && !c.isFinished.Load() {
 		outcome.IsFinal = true
 		l.reply(c, Reply{Verdict: Served, Response: response})
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/body"
 	"tuliprock/internal/upstream"
 )
 
@@ -27,6 +28,17 @@
 	ClientGone
 )
 
+// verdictNames are the names of the verdicts in the log.
+var verdictNames = [...]string{Served: "served", Shed: "shed", Failed: "failed", Duplicate: "duplicate", ClientGone: "client_gone"}
+
+// String returns the name of the verdict in the log.
+func (v Verdict) String() string {
+	if v < 0 || int(v) >= len(verdictNames) {
+		return "unknown"
+	}
+	return verdictNames[v]
+}
+
 // Reply is the final result of a request.
 type Reply struct {
 	Verdict    Verdict
@@ -64,17 +76,28 @@
 	// it before they write their first byte.
 	isFinished       atomic.Bool
 	mayHaveRunAt     time.Duration        // instant at which the first attempt that may have run was sent; 0: no attempt may have run
+	lastOutcome      balance.Outcome      // outcome of the attempt that ended last; zero if none has ended
+	submittedAt      time.Duration        // instant of Submit
 	lastResponse     upstream.Response    // response of the attempt that ended last; zero if it received none
 	cancelAttempts   []context.CancelFunc // cancel functions of all attempts, by the number of the attempt
 	attemptsInFlight int
 	hasClaim         bool // the request's id is claimed
 	isAbandoned      bool // the client has disconnected before its reply
+	isBodyOverdue    bool // the client's time has passed while its body was being sent
 	isDeadlineFixed  bool // Deadline counts from the last byte of a streaming body, and does not change any more
 }
 
 // isClientConnected reports whether the client is still connected, as far as is known.
 func (c *Call) isClientConnected() bool { return c.IsClientConnected == nil || c.IsClientConnected() }
 
+// upload returns the request's streaming body, or nil if its body is buffered.
+func (c *Call) upload() *body.Upload {
+	if c.HTTPRequest == nil {
+		return nil
+	}
+	return c.HTTPRequest.Upload
+}
+
 // claimDuration is how long an id stays claimed after its request has ended: longer than clients wait for a response, or send a request
 // again.
 const claimDuration = 30 * time.Second
@@ -93,16 +116,17 @@
 // the verdict Duplicate, so that the two cannot interfere; so does a request that may have run under this id before, if running it twice
 // would not be harmless. Submit is called from an event.
 func (l *Loop) Submit(now time.Duration, c *Call) {
+	c.submittedAt = now
 	if l.calls[c.ID] != nil {
-		c.Replies <- Reply{Verdict: Duplicate}
+		l.refuse(now, c, Reply{Verdict: Duplicate}, reasonIDInFlight)
 		return
 	}
 	if c.AcceptsRequests != nil && !c.AcceptsRequests() {
-		c.Replies <- Reply{Verdict: Shed, RetryAfter: c.RejectionRetryAfter}
+		l.refuse(now, c, Reply{Verdict: Shed, RetryAfter: c.RejectionRetryAfter}, reasonNoLease)
 		return
 	}
 	if !l.claimID(now, c) {
-		c.Replies <- Reply{Verdict: Duplicate}
+		l.refuse(now, c, Reply{Verdict: Duplicate}, reasonIDUsed)
 		return
 	}
 	l.calls[c.ID] = c
@@ -112,6 +136,12 @@
 	}
 }
 
+// refuse sends the reply to a request that the balancer does not see.
+func (l *Loop) refuse(now time.Duration, c *Call, r Reply, reason endReason) {
+	l.logEnd(now, c, r.Verdict, reason)
+	c.Replies <- r
+}
+
 // ClientDisconnected notifies the balancer that the client of a request has disconnected. It returns false if the request was
 // finished before. It is called from an event.
 func (l *Loop) ClientDisconnected(now time.Duration, c *Call) bool {
@@ -120,6 +150,7 @@
 	}
 	c.isAbandoned = true
 	c.isFinished.Store(true)
+	l.logEnd(now, c, ClientGone, reasonClientGone)
 	l.balancer.ClientDisconnected(now, c.ID)
 	l.removeIfFinished(c)
 	return true
@@ -131,6 +162,9 @@
 		return
 	}
 	c.isFinished.Store(true)
+	if r.Verdict != Served {
+		l.logEnd(l.clock.now(), c, r.Verdict, c.balancerReason())
+	}
 	c.Replies <- r
 	l.removeIfFinished(c)
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"tuliprock/balance"
+	"tuliprock/internal/loglimit"
 	"tuliprock/internal/upstream"
 )
 
@@ -39,6 +40,7 @@
 	upstream     Upstream
 	requestWatch func() // asks discovery to watch the endpoint list, or to poll it at once
 	log          *slog.Logger
+	requestLog   *loglimit.Logger // lines about single requests
 
 	idClaims           IDClaims                  // ids of requests that must not run twice; nil: only ids in flight are known
 	poolName           string                    // name of the pool, which tells its ids from those of others
@@ -90,6 +92,7 @@
 		upstream:           u,
 		requestWatch:       requestWatch,
 		log:                log,
+		requestLog:         loglimit.New(log, maxRequestLines),
 		idempotentClasses:  map[string]bool{},
 		idempotencyWindows: map[string]time.Duration{},
 		calls:              map[string]*Call{},
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -113,6 +113,7 @@
 	c.moveTo(nil)
 	c.isEvicted = true
 	c.listener.evictingCount++
+	c.listener.evictedCount++
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // this fails only on a closed connection, on which the read returns anyway
 }
 
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -29,6 +29,7 @@
 	openCount          int        // number of connections that are accepted and not yet closed
 	evictingCount      int        // number of connections that are marked for eviction and not yet closed
 	isRecheckScheduled bool       // a timer will call evictOverLimit
+	evictedCount       uint64     // number of connections that were marked for eviction since the start
 
 	// The queues hold the connections that may be evicted, the one of which nothing was heard for longest at the front.
 	silent    list.List // new connections on which no byte was received
@@ -103,6 +104,35 @@
 	return l.openCount
 }
 
+// ConnectionCounts says in which states the connections of a Listener are.
+type ConnectionCounts struct {
+	Open     int    // accepted and not closed
+	Silent   int    // new connections on which no byte was received
+	Idle     int    // connections without a request
+	Head     int    // connections on which a part of a request's head was received
+	Body     int    // connections on which a part of a request's body was received, and none of it was forwarded
+	Evicting int    // connections that are marked for eviction and not yet closed
+	Evicted  uint64 // connections that were marked for eviction since the start
+}
+
+// Counts returns the states of the connections.
+func (l *Listener) Counts() ConnectionCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ConnectionCounts{
+		Open: l.openCount, Silent: l.silent.Len(), Idle: l.idle.Len(), Head: l.partial.Len(), Body: l.receiving.Len(),
+		Evicting: l.evictingCount, Evicted: l.evictedCount,
+	}
+}
+
+// Add returns the sum of two counts.
+func (c ConnectionCounts) Add(other ConnectionCounts) ConnectionCounts {
+	return ConnectionCounts{
+		Open: c.Open + other.Open, Silent: c.Silent + other.Silent, Idle: c.Idle + other.Idle, Head: c.Head + other.Head,
+		Body: c.Body + other.Body, Evicting: c.Evicting + other.Evicting, Evicted: c.Evicted + other.Evicted,
+	}
+}
+
 // Shutdown closes the listener, evicts connections as they become idle, and returns when all connections are closed. Each is closed
 // only after the response to its last request. The error is that of closing the listener.
 func (l *Listener) Shutdown() error {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -90,5 +90,6 @@
 func (s *Sidecar) writeMetrics(ctx context.Context, w io.Writer) error {
 	listed, avoided := s.overrides.countEndpoints(ctx)
 	gauges := []metrics.Sample{{Name: "pool_size", Value: listed}, {Name: "pool_ejected", Value: avoided}}
+	gauges = append(gauges, s.resourceGauges()...)
 	return s.metrics.Write(w, append(gauges, s.cluster.gauges()...)...)
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -127,6 +127,7 @@
 func (s *Sidecar) startPool(spec config.PoolSpec) *pool {
 	p := newPool(s.newBalancer, spec, s.bodyMemory, s.idClaims, s.metrics, s.log.With("pool", spec.Name))
 	s.runningPools[p] = true
+	s.resources.addPool(p)
 	if s.connectionLimit > 0 {
 		p.upstream.SetMaxConnections(s.connectionLimit)
 	}
@@ -150,6 +151,7 @@
 		}
 		s.mu.Unlock()
 		for _, p := range unused {
+			s.resources.removePool(p)
 			s.overrides.removePool(p)
 			s.cluster.removePool(p)
 			p.close()
@@ -227,6 +229,7 @@
 		if s.listeners[key] == l {
 			continue
 		}
+		s.resources.addListener(l)
 		s.log.Info("listening", "addr", l.frontendListener.Addr().String(), "listener", l.spec.Name)
 		go func() {
 			if err := l.serve(); !l.isDraining.Load() {
@@ -260,5 +263,6 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.drainingListeners, l)
+		s.resources.removeListener(l)
 	})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,6 +42,7 @@
 	bodyMemory       *body.MemoryPool // memory for streaming bodies; nil: all bodies are buffered; fixed at the start
 	retiring         sync.WaitGroup   // goroutines that wait for the last requests of removed configurations and listeners
 	metrics          *metrics.Registry
+	resources        *resources   // what is counted in the metrics
 	overrides        *overrides   // manual ejections of endpoints
 	cluster          *clusterNode // this daemon's membership in a cluster; nil: it is in none; fixed at the start
 	hotRestart       *hotRestart  // coordination with other processes of this sidecar; nil: hot restart is not in use
@@ -84,6 +85,7 @@
 		shutdownStreamTimeout: c.DrainTimeout,
 		gracePeriod:           c.TerminationGrace,
 		metrics:               &metrics.Registry{},
+		resources:             newResources(),
 		overrides:             newOverrides(),
 		idClaims:              openIDClaims(c, log),
 		fixedDescriptors:      c.ReservedDescriptors(),
