--- a/cmd/tuliprock/process_test.go
+++ b/cmd/tuliprock/process_test.go
@@ -27,7 +27,11 @@
 		main()
 		os.Exit(0)
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if daemonDir != "" {
+		_ = os.RemoveAll(daemonDir) // what is left in the temporary directory does no harm
+	}
+	os.Exit(code)
 }
 
 // programCommand returns a command that runs the program, as a process of the test binary, with these arguments.
