Long heads, responses and the heap share what the mapped program leaves of the memory

Three bounds were missing or counted the wrong thing: a parsed head takes several times its length on every connection (heads of over 4 KiB now need one of as many permits as fit into the memory for heads, and are answered with 400 beyond it); the runtime's soft limit ignored the mapped program (RuntimeLimit subtracts it); a response of known length was read by doubling buffers. A rejected head now leaves the client time to read the response: net/http closes at once there, which resets the connection if bytes are unread.

--- a/cmd/tuliprock/crowd_test.go
+++ b/cmd/tuliprock/crowd_test.go
@@ -86,8 +86,9 @@
 // usualOutcomes counts how the requests of usual clients ended.
 type usualOutcomes struct {
 	sent, served, refused, failed int
-	closed                        int // the connection was closed without an answer
+	closed                        int // the connection was closed without an answer, or could not be opened
 	late                          int // no answer came within half a second after the request's time
+	unanswered                    []string // ids of those that were closed on or late, with the reason
 }
 
 // usualRequests sends lookups, each on a connection of its own, until ctx ends.
@@ -111,8 +112,10 @@
 				o.failed++
 			case a.Took() >= r.Patience:
 				o.late++
+				o.unanswered = append(o.unanswered, fmt.Sprintf("%s late, sent %v", a.ID, a.SentAt.Format("05.000")))
 			default:
 				o.closed++
+				o.unanswered = append(o.unanswered, fmt.Sprintf("%s %v after %v", a.ID, a.Err, a.Took()))
 			}
 		})
 	}
@@ -140,6 +143,7 @@
 			if err != nil {
 				t.Fatalf("%v; log: %s", err, stage.Log())
 			}
+			dumpLog(stage)
 			stop()
 			wait()
 			t.Logf("peak %d KiB, anonymous at the end %d KiB; usual requests: %+v", memory.Peak, memory.Anonymous, outcomes)
@@ -149,3 +153,5 @@
 		})
 	}
 }
+
+func dumpLog(stage *crowd.Stage) { _ = os.WriteFile("/tmp/t/daemon.log", []byte(stage.Log()), 0o600) }
--- a/internal/config/listener.go
+++ b/internal/config/listener.go
@@ -29,6 +29,9 @@
 	// UploadIdleTimeout is the longest wait for the client's next byte while it sends a streaming body; 0 means StreamIdleTimeout.
 	UploadIdleTimeout time.Duration `toml:"-"`
 
+	// HeadMemoryBytes is the memory for heads of over 4 KiB, of all connections together; 0 means no limit.
+	HeadMemoryBytes int `toml:"-"`
+
 	Descriptor int `toml:"-"` // descriptor of a listening socket inherited from the platform; 0 to open a socket
 
 	// UsesRawTargets is whether request targets are matched and forwarded without normalization. If it is set, Content-Type is the only
--- a/internal/config/platform_service.go
+++ b/internal/config/platform_service.go
@@ -81,6 +81,7 @@
 	l.HeadTimeout, l.BodyTimeout, l.MaxBodyBytes = platformHeadTimeout, platformBodyTimeout, platformMaxBodyBytes
 	l.StreamIdleTimeout, l.MinStreamRate = platformStreamIdleTimeout, platformMinStreamRate
 	l.UploadIdleTimeout = platformUploadIdleTimeout
+	l.HeadMemoryBytes = c.Limits.MemoryMB << 20 / platformHeadMemoryDivisor
 	l.MaxHeadBytes = min(l.MaxHeadBytes, max(c.Limits.MemoryMB<<20/platformHeadMemoryDivisor/connectionLimit, minPlatformHeadBytes))
 	return l
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,13 +16,10 @@
 
 	"tuliprock/internal/config"
 	"tuliprock/internal/eventloop"
+	"tuliprock/internal/memusage"
 	"tuliprock/internal/sidecar"
 )
 
-// heapLimitFraction is the fraction of the configured memory limit that is set as the soft limit of the Go runtime, above
-// which it collects garbage more often. The rest is for memory that the runtime does not count.
-const heapLimitFraction = 0.7
-
 // Targets of the garbage collector, as for GOGC: how much the heap may grow until the next collection, in percent of the live
 // heap, which is small. platformGCPercent is low because the platform monitors memory: with 300 the first collection would come
 // a minute later, and the growth until then would look like a leak. fileGCPercent, for daemons on an operators' file, is high
@@ -113,7 +110,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapLimitFraction * float64(limits.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(memusage.RuntimeLimit(limits.MemoryMB, 1, memusage.Read().Shared))
 	}
 }
 
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -40,7 +40,10 @@
 	awaitsFirstByte bool          // no byte was received since the last write
 	isReceivingBody bool          // the body of a request is read, and none of it was forwarded
 	isEvicted       bool          // the next read that receives no bytes ends the connection
+	hasLingered     bool          // Close was called
 	isCounted       bool          // the connection is counted in listener.openCount
+	hasLongHead     bool          // the connection holds a permit of listener.longHeads
+	isHeadRefused   bool          // a head had too many fields, or there was no memory for it; the connection serves no further request
 }
 
 // errTooManyFields ends the reading of a head with more than maxHeadFields fields. net/http responds to it with status 400.
@@ -48,8 +51,8 @@
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	if c.isExcessiveHeadPending() {
-		return 0, errTooManyFields
+	if err := c.pendingHeadError(); err != nil {
+		return 0, err
 	}
 	endWait := c.waits.begin(c.Conn)
 	n, err := c.Conn.Read(b)
@@ -61,8 +64,8 @@
 	defer c.listener.mu.Unlock()
 	if n > 0 {
 		c.recordReceived(b[:n])
-		if c.readsExcessiveHead() {
-			return n, errTooManyFields
+		if headErr := c.headError(); headErr != nil {
+			return 0, headErr // net/http would serve a head that is complete, and fail only at the next read
 		}
 		return n, err
 	}
@@ -90,17 +93,28 @@
 	c.awaitsFirstByte = false
 }
 
-// isExcessiveHeadPending is readsExcessiveHead for callers that do not hold listener.mu.
-func (c *clientConn) isExcessiveHeadPending() bool {
+// pendingHeadError is headError for callers that do not hold listener.mu.
+func (c *clientConn) pendingHeadError() error {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.readsExcessiveHead()
+	return c.headError()
 }
 
-// readsExcessiveHead reports whether net/http is reading a head that has too many fields. While a request is open it is not: net/http
-// then reads a byte ahead, and an error would cancel the open request. listener.mu is held.
-func (c *clientConn) readsExcessiveHead() bool {
-	return c.queue != nil && !c.isReceivingBody && c.headScanner.hasTooManyFields()
+// headError returns the error that ends the reading of a head which has too many fields or for which there is no memory; nil if net/http
+// may read on. While a request is open it is nil: net/http then reads a byte ahead, and an error would cancel the open request.
+// listener.mu is held.
+func (c *clientConn) headError() error {
+	switch {
+	case c.queue == nil || c.isReceivingBody:
+		return nil
+	case c.headScanner.hasTooManyFields():
+		c.isHeadRefused = true
+		return errTooManyFields
+	case c.isHeadRefused || !c.acquireLongHead():
+		c.isHeadRefused = true
+		return errNoHeadMemory
+	}
+	return nil
 }
 
 // mayHaveReceived reports whether bytes of a request may have been received though a read has timed out: because of an eviction, or while
@@ -139,6 +153,29 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close implements net.Conn. If a head was rejected while it was received, the client gets some time to read the response: net/http closes
+// the connection at once then, which resets it if bytes are unread.
+func (c *clientConn) Close() error {
+	c.listener.mu.Lock()
+	mustLinger := c.isHeadRefused && !c.hasLingered
+	c.hasLingered = true
+	c.listener.mu.Unlock()
+	if mustLinger {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// linger ends the sending side of the connection, and discards what the client still sends until it closes its side, but within the limits
+// for the rest of a rejected request.
+func (c *clientConn) linger() {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); !ok || conn.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime)) // fails only on a closed connection, on which the read fails, too
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)       // an error means that the client has closed its side, or was too slow
+}
+
 // Write implements net.Conn.
 func (c *clientConn) Write(b []byte) (int, error) {
 	c.listener.mu.Lock()
--- a/internal/frontend/head_scanner.go
+++ b/internal/frontend/head_scanner.go
@@ -39,6 +39,8 @@
 	cannotFollow   bool          // the end of the current request is not known, so that no further head can be found
 	current        headFraming   // framing of the head that is being scanned
 	fieldCount     int           // number of fields of that head so far
+	headLength     int           // number of bytes of that head so far
+	longestHead    int           // number of bytes of the longest head since the last call of takeLongestHead, as far as it was scanned
 	afterFirstLine bool          // the request line has ended
 	name           [len("transfer-encoding")]byte
 	nameLength     int   // number of bytes of name that are set, which hold the current field's name in lower case; -1: the name has ended
@@ -94,8 +96,19 @@
 	return h.current.hasTooManyFields
 }
 
+// takeLongestHead returns the number of bytes of the longest head that was scanned since the last call, complete or not.
+func (h *headScanner) takeLongestHead() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	longest := h.longestHead
+	h.longestHead = h.headLength
+	return longest
+}
+
 // scanByte processes one byte of a head. mu is held.
 func (h *headScanner) scanByte(c byte) {
+	h.headLength++
+	h.longestHead = max(h.longestHead, h.headLength)
 	switch c {
 	case '\r':
 	case '\n':
@@ -135,7 +148,7 @@
 	h.pending = append(h.pending, h.current)
 	h.bodyBytesLeft = h.length
 	h.cannotFollow = h.cannotFollow || h.current.hasTransferEncoding || h.current.hasFoldedLine || len(h.pending) >= maxPendingHeads
-	h.current, h.fieldCount, h.length, h.afterFirstLine = headFraming{}, 0, 0, false
+	h.current, h.fieldCount, h.headLength, h.length, h.afterFirstLine = headFraming{}, 0, 0, 0, false
 }
 
 // scanField processes one byte of a line. At the end of a field's name it records whether the name is Content-Length or
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -30,6 +30,7 @@
 	evictingCount      int        // number of connections that are marked for eviction and not yet closed
 	isRecheckScheduled bool       // a timer will call evictOverLimit
 	evictedCount       uint64     // number of connections that were marked for eviction since the start
+	longHeads          longHeadLimit
 
 	// The queues hold the connections that may be evicted, the one of which nothing was heard for longest at the front.
 	silent    list.List // new connections on which no byte was received
@@ -70,6 +71,7 @@
 		c.moveTo(nil)
 		c.cancelEviction(time.Time{})
 	case http.StateIdle:
+		c.releaseLongHead()
 		if c.awaitsFirstByte {
 			c.moveTo(&l.idle)
 		} else {
@@ -78,6 +80,7 @@
 		l.evictOverLimit()
 	case http.StateClosed, http.StateHijacked:
 		c.moveTo(nil)
+		c.releaseLongHead()
 		if c.isEvicted {
 			c.isEvicted = false
 			l.evictingCount--
@@ -97,6 +100,14 @@
 	l.evictOverLimit()
 }
 
+// SetMaxLongHeads limits how many connections may have a head of over 4 KiB at a time, from when the head is received until its request has
+// ended; 0 means no limit. Further ones are rejected with status 400.
+func (l *Listener) SetMaxLongHeads(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longHeads.max = limit
+}
+
 // ConnectionCount returns the number of accepted connections that are not yet closed, including those marked for eviction.
 func (l *Listener) ConnectionCount() int {
 	l.mu.Lock()
--- a/internal/frontend/proxy_test.go
+++ b/internal/frontend/proxy_test.go
@@ -29,6 +29,7 @@
 	server      *Server
 	loop        *eventloop.Loop
 	upstream    *upstream.Client
+	listener    *Listener
 	dialedAddrs chan string // addresses that were dialed; while the channel's buffer is full, further addresses are dropped
 }
 
@@ -103,6 +104,7 @@
 	}
 	maxConnections := cmp.Or(options.maxConnections, 1000)
 	listener := NewListener(NewLimitListener(tcpListener, maxConnections+2), maxConnections, testpeer.Timeout)
+	p.listener = listener
 	server := p.server.HTTPServer(listener.Track)
 	ctx, stop := context.WithCancel(context.Background())
 	var goroutines sync.WaitGroup
--- a/internal/memusage/memusage_test.go
+++ b/internal/memusage/memusage_test.go
@@ -1,6 +1,7 @@
 package memusage
 
 import (
+	"math"
 	"os"
 	"runtime"
 	"testing"
@@ -37,3 +38,21 @@
 		}
 	}
 }
+
+// The resident set includes the mapped program, which the runtime's limit does not: with little memory the heap must leave room for it.
+func TestRuntimeLimitLeavesRoomForTheProgram(t *testing.T) {
+	for _, row := range []struct {
+		memoryMB, processes int
+		programMB, wantMB   float64
+	}{
+		{192, 1, 12, 134.4}, // the fraction
+		{32, 1, 12, 18.9},   // what the program leaves
+		{96, 2, 12, 33.6},
+		{16, 1, 12, 8.4}, // never below the least
+	} {
+		got := RuntimeLimit(row.memoryMB, row.processes, int64(row.programMB*1e6))
+		if math.Abs(float64(got)-row.wantMB*1e6) > 1e5 {
+			t.Errorf("%d MB for %d processes: the runtime's limit is %d bytes, want about %.1f MB", row.memoryMB, row.processes, got, row.wantMB)
+		}
+	}
+}
--- a/internal/sidecar/hotrestart.go
+++ b/internal/sidecar/hotrestart.go
@@ -2,13 +2,13 @@
 
 import (
 	"log/slog"
-	"math"
 	"runtime/debug"
 	"sync"
 	"time"
 
 	"tuliprock/internal/config"
 	"tuliprock/internal/hotrestart"
+	"tuliprock/internal/memusage"
 )
 
 // hotRestart coordinates this process with the other processes of the same sidecar through a shared directory: the newest
@@ -19,7 +19,6 @@
 	directory    *hotrestart.Directory
 	log          *slog.Logger
 	config       config.Service // configuration when this process started; all processes share its descriptor limit
-	memoryLimit  int64          // memory limit of the Go runtime, in bytes, while no other process runs; math.MaxInt64: none
 	stopPolling  chan struct{}  // closed by the method close, to stop run
 	pollingEnded chan struct{}  // closed when the method run has returned
 	finished     chan struct{}  // closed when another process takes clients and this one has no client left
@@ -49,7 +48,6 @@
 		directory:       directory,
 		log:             log,
 		config:          c,
-		memoryLimit:     debug.SetMemoryLimit(-1),
 		stopPolling:     make(chan struct{}),
 		pollingEnded:    make(chan struct{}),
 		finished:        make(chan struct{}),
@@ -138,8 +136,8 @@
 		return
 	}
 	r.descriptorLimit = limit
-	if r.memoryLimit != math.MaxInt64 {
-		debug.SetMemoryLimit(r.memoryLimit / int64(1+len(view.Others)))
+	if memoryMB := r.config.Limits.MemoryMB; memoryMB > 0 {
+		debug.SetMemoryLimit(memusage.RuntimeLimit(memoryMB, 1+len(view.Others), memusage.Read().Shared))
 	}
 	r.sidecar.setConnectionLimit(r.config.ConnectionsWithin(limit))
 }
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -73,6 +73,9 @@
 		MinRate:              body.MinimumRate{IdleTimeout: spec.StreamIdleTimeout, BytesPerSecond: spec.MinStreamRate},
 		UploadIdleTimeout:    cmp.Or(spec.UploadIdleTimeout, spec.StreamIdleTimeout),
 	}, o.routes, o.log)
+	if spec.HeadMemoryBytes > 0 {
+		l.frontendListener.SetMaxLongHeads(frontend.LongHeadsWithin(spec.HeadMemoryBytes))
+	}
 	l.server = l.frontend.HTTPServer(l.frontendListener.Track)
 	return l
 }
--- a/internal/testkit/crowd/client.go
+++ b/internal/testkit/crowd/client.go
@@ -67,16 +67,13 @@
 // Run plays the form on a new connection until the daemon closes the connection or ctx ends. It returns nil in both cases, and an error
 // if the daemon can't be reached.
 func (c *Client) Run(ctx context.Context, f Form) error {
-	var dialer net.Dialer
+	dialer := net.Dialer{Control: limitBuffers}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	// Small buffers keep the client's system from taking in what the client does not read, or holding what the daemon does not read.
-	_ = conn.(*net.TCPConn).SetReadBuffer(8 << 10)
-	_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
 	c.conn = conn
 	if err := f.play(c); err != nil {
 		return nil // the daemon has closed the connection
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -104,9 +104,17 @@
 	return x.classify(resp, content)
 }
 
-// readBufferedBody reads a body of at most maxBufferedBodyBytes to its end.
+// readBufferedBody reads a body of at most maxBufferedBodyBytes to its end. A body of known length takes as much memory as its length.
 func readBufferedBody(resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
+	if resp.Body == http.NoBody { // the length may be that of a response with a body, as after HEAD
+		return nil, nil
+	}
+	if length := resp.ContentLength; length >= 0 && length <= maxBufferedBodyBytes {
+		content := make([]byte, length)
+		_, err := io.ReadFull(resp.Body, content)
+		return content, err
+	}
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes+1))
 	if err == nil && len(content) > maxBufferedBodyBytes {
 		err = fmt.Errorf("%w: body of more than %d bytes is too long", errMalformed, maxBufferedBodyBytes)
