--- a/internal/config/platform_service.go
+++ b/internal/config/platform_service.go
@@ -24,9 +24,12 @@
 	platformStreamIdleTimeout = 5 * time.Second         // how long a peer may send nothing, or be slower than its minimum rate
 	platformMaxStreamDuration = 10 * time.Minute        // longest time that a body may stream: 32 MB at 64 kB per second take 8.5 minutes
 
-	// platformBodyMemoryDivisor is the ratio of a sidecar's memory limit to its memory budget for bodies. The budget is small because two
-	// processes share the memory limit during a hot restart.
+	// platformBodyMemoryDivisor is the ratio of what the mapped program leaves of a sidecar's memory limit to its memory budget for bodies.
+	// The budget is small because two processes share the memory limit during a hot restart.
 	platformBodyMemoryDivisor = 8
+	// platformProgramMB is about how many megabytes of the memory limit the mapped program takes.
+	platformProgramMB     = 12
+	minPlatformBodyMemory = 1 << 20
 
 	// platformHeadMemoryDivisor is the ratio of a sidecar's memory limit to the bytes of the heads that all its clients can send at
 	// once. A head takes several times its length while it is parsed and forwarded.
@@ -56,7 +59,7 @@
 	}
 	s.TerminationGrace = terminationGrace(c.Settings.LongestClientWait)
 	s.DrainTimeout = s.TerminationGrace - abortReportTime
-	s.BodyMemoryBytes = c.Limits.MemoryMB << 20 / platformBodyMemoryDivisor
+	s.BodyMemoryBytes = max((c.Limits.MemoryMB-platformProgramMB)<<20/platformBodyMemoryDivisor, minPlatformBodyMemory)
 	connectionLimit := s.ConnectionsWithin(c.Limits.Sockets)
 	listener, pool := c.platformListener(connectionLimit), c.platformPool(connectionLimit, settings)
 	if c.ListenDescriptor > 0 { // several processes of the sidecar may run at a time and share the inherited socket
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -92,9 +92,9 @@
 	// minConnections is the smallest limit that is computed for the connections to clients, and for those to endpoints, even if it
 	// exceeds the limit on descriptors.
 	minConnections = 8
-	// connectionsPerMiB limits the connections to clients by the memory limit. A connection takes about 35 KiB, and several times the
-	// length of a head that is parsed and forwarded.
-	connectionsPerMiB = 12
+	// connectionsPerMiB limits the connections to clients by the memory limit. A connection with a request takes about 25 KiB; long heads,
+	// bodies and responses have budgets of their own.
+	connectionsPerMiB = 16
 )
 
 // MaxDescriptors returns the maximum number of files and connections that the daemon may have open.
