--- a/internal/testkit/crowd/client.go
+++ b/internal/testkit/crowd/client.go
@@ -187,7 +187,7 @@
 func (c *Client) slowReader(size, rate int, isChunked bool) error {
 	return c.request("GET", Behavior{ResponseSize: size, IsChunked: isChunked}, 0, 0, func(from io.Reader) error {
 		if rate == 0 {
-			time.Sleep(time.Minute) // ends early when the connection is closed by the test; the daemon ends it by its own write timeout
+			waitForEnd(c.conn)
 			return nil
 		}
 		part := make([]byte, max(rate*int(paceInterval)/int(time.Second), 1))
