Upstream: a response that began in time is handed over before its request is given up

Attempts now know the request's deadline (the loop stores it once it is known), and hold the beginning back until 50 ms before it at most.

--- a/internal/eventloop/attempt.go
+++ b/internal/eventloop/attempt.go
@@ -12,6 +12,7 @@
 func (l *Loop) attemptHooks(c *Call, attempt int) upstream.AttemptHooks {
 	return upstream.AttemptHooks{
 		IsWanted:    l.isWantedFunc(c),
+		Deadline:    func() time.Time { return l.deadlineTime(c) },
 		RequestSent: func() { l.Post(func(now time.Duration) { l.handleBodySent(now, c, attempt) }) },
 		ResponseStarted: func(response upstream.Response) bool {
 			becomesReply := make(chan bool, 1)
@@ -21,6 +22,16 @@
 	}
 }
 
+// deadlineTime returns the time at which a request is given up, or the zero time if its body has not been received completely and so does
+// not count yet. It may be called from any goroutine.
+func (l *Loop) deadlineTime(c *Call) time.Time {
+	instant := time.Duration(c.knownDeadline.Load())
+	if instant == 0 {
+		return time.Time{}
+	}
+	return l.clock.timeOf(instant)
+}
+
 // awaitResult returns what a posted event sends to result, or false if the loop has ended without handling the event.
 func (l *Loop) awaitResult(result <-chan bool) bool {
 	select {
@@ -63,6 +74,7 @@
 		return
 	}
 	c.Deadline, c.isDeadlineFixed = min(l.bodyWrittenAt(now, c)+c.ResponseTimeout, c.StreamUntil), true
+	c.knownDeadline.Store(int64(c.Deadline))
 }
 
 // bodyWrittenAt returns the earliest instant at which the client of a request may have written the last byte of the request's body.
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -75,6 +75,7 @@
 	// isFinished means that the request has its reply or that its client has disconnected. Only the loop sets it; attempts read
 	// it before they write their first byte.
 	isFinished       atomic.Bool
+	knownDeadline    atomic.Int64         // Deadline, for attempts; 0 while a streaming body is being received, whose end decides on it
 	mayHaveRunAt     time.Duration        // instant at which the first attempt that may have run was sent; 0: no attempt may have run
 	lastOutcome      balance.Outcome      // outcome of the attempt that ended last; zero if none has ended
 	submittedAt      time.Duration        // instant of Submit
@@ -130,6 +131,9 @@
 		return
 	}
 	l.calls[c.ID] = c
+	if c.ResponseTimeout <= 0 {
+		c.knownDeadline.Store(int64(c.Deadline))
+	}
 	l.balancer.Request(now, c.Request)
 	if c.ResponseTimeout > 0 {
 		l.watchUpload(now, c)
--- a/internal/eventloop/clock.go
+++ b/internal/eventloop/clock.go
@@ -14,6 +14,9 @@
 
 func (c clock) at(t time.Time) time.Duration { return clockStart + t.Sub(c.startedAt) }
 
+// timeOf is the inverse of at.
+func (c clock) timeOf(instant time.Duration) time.Time { return c.startedAt.Add(instant - clockStart) }
+
 // fromUnixMillis converts a wall-clock time in Unix milliseconds to an instant. A time of 0 or less gives the instant 0, which means
 // "long ago". The offset between wall-clock times and instants is fixed: the same start time of an endpoint must always give the same
 // instant, or the balancer would take the endpoint for restarted.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,6 +21,9 @@
 	// RequestSent, if not nil, is called after the last byte of a streaming request body was written, on one of the attempt's
 	// goroutines.
 	RequestSent func()
+	// Deadline returns the time at which the request is given up if no response was handed over; the zero time means that it is not known.
+	// nil means the end of the attempt's context.
+	Deadline func() time.Time
 	// ResponseStarted is called when a response that is not buffered has begun. If it returns true, the callee owns the response
 	// and must close its Stream. nil means that responses must be buffered.
 	ResponseStarted func(Response) bool
@@ -75,6 +78,15 @@
 	return o.result, usedIdle, o.response
 }
 
+// deadline returns the time at which the exchange's request is given up; the zero time means that it is not known.
+func (x *exchange) deadline(ctx context.Context) time.Time {
+	if x.hooks.Deadline != nil {
+		return x.hooks.Deadline()
+	}
+	deadline, _ := ctx.Deadline()
+	return deadline
+}
+
 // isPastDeadline reports whether an attempt's deadline has passed. It compares the deadline with the clock, since ctx may not have
 // ended yet: if the process was suspended while the attempt waited for a connection, the attempt can continue before the timer
 // that cancels ctx fires.
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -59,7 +59,7 @@
 }
 
 // streamResponse hands a streaming response over to AttemptHooks.ResponseStarted and waits until the response's Stream is closed.
-// Before the handover it holds back up to one buffer of the body, for at most minBufferedResponseTimeout: if the body breaks during
+// Before the handover it holds back up to one buffer of the body, for at most holdBackTime: if the body breaks during
 // this time, the request can still be retried, and if the body ends, the response is returned as a buffered one. Server-sent events
 // are not held back.
 func (x *exchange) streamResponse(ctx context.Context, resp *http.Response) outcome {
@@ -81,7 +81,7 @@
 		}
 	}
 	if !isEventStream(resp) {
-		timer := time.AfterFunc(minBufferedResponseTimeout, handOver)
+		timer := time.AfterFunc(x.holdBackTime(ctx), handOver)
 		defer timer.Stop()
 		s.prefetch()
 		if s.hasEnded() && s.isClaimed.CompareAndSwap(false, true) {
@@ -98,6 +98,20 @@
 	return x.closedOutcome(resp, <-s.closeErr)
 }
 
+// handOverMargin is how long before a request is given up its response is handed over at the latest. It covers the way through the event
+// loop of a busy process.
+const handOverMargin = 50 * time.Millisecond
+
+// holdBackTime returns for how long the beginning of a streaming response is held back at most: it must be handed over before its request
+// is given up, since the response has come in time.
+func (x *exchange) holdBackTime(ctx context.Context) time.Duration {
+	deadline := x.deadline(ctx)
+	if deadline.IsZero() {
+		return minBufferedResponseTimeout
+	}
+	return max(min(minBufferedResponseTimeout, time.Until(deadline)-handOverMargin), 0)
+}
+
 // newStream returns a Stream that reads a response's body into buffer.
 func (x *exchange) newStream(resp *http.Response, buffer []byte) *Stream {
 	s := &Stream{
