Upstream: a pause in a short answer to an unsafe request does not end it

Callers saw 502 for an unsafe request that ran, because its server paused for over 0.5 s within an answer of up to 64 KiB. The limit exists so that a lookup can be retried elsewhere; an unsafe request that may have run is never sent again, so that nothing was gained. Such an answer now has until the request's deadline.

--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -63,6 +63,7 @@
 			Host:           r.Host,
 			Header:         header,
 			DeadlineHeader: class.DeadlineHeader,
+			NeverRetried:   class.Idempotency == balance.NonIdempotent,
 		},
 		Replies:             make(chan eventloop.Reply, 1),
 		HasUniqueID:         class.RequiresID,
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -35,6 +35,10 @@
 	// "" means that no such header is sent.
 	DeadlineHeader string
 
+	// NeverRetried says that the request is not sent again once it may have run, so that nothing is gained by giving up a response that its
+	// endpoint may still be writing.
+	NeverRetried bool
+
 	// Upload is the body if it streams, and nil if it is buffered.
 	Upload *body.Upload
 	// ResponseTimeout is how long this sidecar waits for the response after Upload was sent; 0 means until the attempt's context
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -94,6 +94,10 @@
 	if x.isStreaming(resp) {
 		return x.streamResponse(ctx, resp)
 	}
+	if deadline := x.deadline(ctx); x.request.NeverRetried && !deadline.IsZero() {
+		_ = x.conn.setMinimumRate(body.MinimumRate{}) // this and the next fail only on a closed connection, on which the read fails, too
+		_ = x.conn.SetReadDeadline(deadline)
+	}
 	content, err := readBufferedBody(resp)
 	if err == nil {
 		err = x.conn.setMinimumRate(body.MinimumRate{})
