--- a/internal/frontend/longheads_test.go
+++ b/internal/frontend/longheads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -23,9 +24,9 @@
 	}
 	for i := range maxLongHeads {
 		client := p.dialClient(t)
-		fmt.Fprint(client, half(fmt.Sprint("held-", i)))
+		io.WriteString(client, half(fmt.Sprint("held-", i)))
 		defer func() {
-			fmt.Fprint(client, "\r\n")
+			io.WriteString(client, "\r\n")
 			if status := readStatus(client); status != http.StatusOK {
 				t.Errorf("a request with a long head within the limit got status %d, want 200", status)
 			}
@@ -53,7 +54,7 @@
 		}
 		awaitLongHeads(t, p.listener, 0)
 		client := p.dialClient(t)
-		fmt.Fprint(client, request[:len(request)-len("\r\n")]+longFields)
+		io.WriteString(client, request[:len(request)-len("\r\n")]+longFields)
 		awaitLongHeads(t, p.listener, 1)
 		client.Close()
 		awaitLongHeads(t, p.listener, 0)
--- a/internal/frontend/pipeline_test.go
+++ b/internal/frontend/pipeline_test.go
@@ -29,7 +29,7 @@
 	defer stop()
 	client := p.dialClient(t)
 	for i := range requests {
-		fmt.Fprint(client, requestTextWithDeadline("look", fmt.Sprint("r-", i), "", deadline))
+		io.WriteString(client, requestTextWithDeadline("look", fmt.Sprint("r-", i), "", deadline))
 	}
 	sentAt, in := time.Now(), bufio.NewReader(client)
 	served := 0
@@ -61,7 +61,7 @@
 		defer close(ended)
 		in := bufio.NewReader(client)
 		for {
-			fmt.Fprintf(client, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", healthPath)
+			io.WriteString(client, "GET "+healthPath+" HTTP/1.1\r\nHost: h\r\n\r\n")
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
 				return
