Soak: clients that keep their connections, and no new ones long after SIGTERM

Clients that keep their connections and use them until the kill are new. Requests without an answer are counted by reason.

--- a/internal/testkit/crowd/play.go
+++ b/internal/testkit/crowd/play.go
@@ -37,9 +37,10 @@
 	unansweredAtKill = 500 * time.Millisecond
 	// crossingTime is the longest time after a request's last byte at which its connection can have been closed before the daemon had
 	// received the request.
-	crossingTime  = 20 * time.Millisecond
-	usualDeadline = 2300 * time.Millisecond
-	usualPatience = usualDeadline + answerSlack + 200*time.Millisecond
+	crossingTime    = 20 * time.Millisecond
+	keptConnections = 5 // clients that keep their connections
+	usualDeadline   = 2300 * time.Millisecond
+	usualPatience   = usualDeadline + answerSlack + 200*time.Millisecond
 )
 
 // DrawPlay draws the play of a seed.
@@ -78,9 +79,10 @@
 // Report is what a play has shown.
 type Report struct {
 	Violations []string
-	Requests   int         // requests of usual clients whose answers were checked
-	Statuses   map[int]int // their answers by status; 0: none
-	PeakKiB    int         // highest resident set of a process
+	Requests   int            // requests of usual clients whose answers were checked
+	Statuses   map[int]int    // their answers by status; 0: none
+	Unanswered map[string]int // why no answer is counted as a violation, for those without one
+	PeakKiB    int            // highest resident set of a process
 }
 
 // sentRequest is a request of a usual client with its answer.
@@ -105,7 +107,7 @@
 
 // Run plays the play on a stage that was started with its options, and checks what was seen.
 func (p Play) Run(ctx context.Context, stage *Stage) (Report, error) {
-	r := &runner{play: p, stage: stage, startedAt: time.Now(), report: Report{Statuses: map[int]int{}}}
+	r := &runner{play: p, stage: stage, startedAt: time.Now(), report: Report{Statuses: map[int]int{}, Unanswered: map[string]int{}}}
 	ctx, stop := context.WithTimeout(ctx, playTime)
 	defer stop()
 	var group sync.WaitGroup
@@ -113,6 +115,9 @@
 		group.Go(func() { r.playCrowd(ctx, i) })
 	}
 	group.Go(func() { r.sendUsual(ctx) })
+	for i := range keptConnections {
+		group.Go(func() { r.keepConnection(ctx, i) })
+	}
 	errs := make(chan error, 1)
 	group.Go(func() { errs <- r.sendSignals(ctx) })
 	group.Wait()
@@ -151,6 +156,9 @@
 	for ctx.Err() == nil {
 		request := drawRequest(random)
 		group.Go(func() {
+			if !r.mayConnect() {
+				return
+			}
 			a := request.Send(r.stage.Addr)
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -164,6 +172,36 @@
 	group.Wait()
 }
 
+// keepConnection sends one request after another on a connection that it keeps for as long as it stays open, also while the process ends.
+func (r *runner) keepConnection(ctx context.Context, i int) {
+	random := rand.New(rand.NewPCG(r.play.Seed, 1<<33+uint64(i)))
+	for ctx.Err() == nil {
+		if !r.mayConnect() {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		session, err := OpenSession(r.stage.Addr)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		for isOpen := true; isOpen && ctx.Err() == nil; {
+			request := Request{Class: LookupClass, Deadline: usualDeadline, Patience: usualPatience}
+			if random.IntN(3) == 0 {
+				request.Class, request.Length = DispatchClass, 1+random.IntN(4000)
+			}
+			request.Behavior.Work = time.Duration(random.IntN(300)) * time.Millisecond
+			a := session.Send(request)
+			r.mu.Lock()
+			r.requests = append(r.requests, sentRequest{request, a})
+			r.mu.Unlock()
+			isOpen = a.Err == nil && !a.ClosesConnection
+			time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+		}
+		session.Close()
+	}
+}
+
 // drawRequest draws a request of a usual client.
 func drawRequest(random *rand.Rand) Request {
 	r := Request{Class: LookupClass, Deadline: usualDeadline, Patience: usualPatience}
@@ -265,6 +303,9 @@
 	for _, s := range r.requests {
 		r.report.Statuses[s.Status]++
 		r.report.Requests++
+		if s.Status == 0 {
+			r.report.Unanswered[s.unansweredBecause(r.wasInterrupted(s.Answer))]++
+		}
 		for _, violation := range s.violations(runs[s.ID], r.wasInterrupted(s.Answer)) {
 			r.violate("id %s (%+v): %s", s.ID, s.Request, violation)
 		}
@@ -274,6 +315,16 @@
 	}
 }
 
+// connectTime is for how long new connections go on coming after SIGTERM.
+const connectTime = 400 * time.Millisecond
+
+// mayConnect reports whether clients open new connections now: the platform leads them elsewhere soon after SIGTERM.
+func (r *runner) mayConnect() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.terminatedAt.IsZero() || !r.restartedAt.IsZero() || time.Since(r.terminatedAt) < connectTime
+}
+
 // wasInterrupted reports whether a request was sent so late before the end of a process, or while none ran, that it may have no answer.
 func (r *runner) wasInterrupted(a Answer) bool {
 	if r.killedAt.IsZero() {
@@ -287,6 +338,21 @@
 		a.EndedAt.After(r.terminatedAt) && sentAt.Before(r.killedAt) && a.Status == http.StatusOK // a stream may be cut off at the end
 }
 
+// unansweredBecause returns why a request has no answer, as far as the client can tell.
+func (s sentRequest) unansweredBecause(wasInterrupted bool) string {
+	switch {
+	case s.EndedAt.IsZero():
+		return "not connected"
+	case wasInterrupted:
+		return "process ended"
+	case s.SentAt.IsZero():
+		return "not written"
+	case s.Took() <= crossingTime:
+		return "closed before it came"
+	}
+	return "violation"
+}
+
 // violations returns which rules the answer to a request breaks that has arrived completely at endpoints the given number of times.
 func (s sentRequest) violations(runs int, wasInterrupted bool) (violations []string) {
 	if s.Class == DispatchClass && runs > 1 {
