A guard keeps the process below its memory limit, whatever takes the memory

The guard reads what the process uses, returns garbage to the system from 95 % of the limit on, and from 97 % makes listeners reject new requests before their bodies are read and close connections without a request. The race detector's memory does not count (Usage.InUse), so that rehearsals under it behave as without. TestMemoryGuardCollectsFirstAndShedsIfThatDoesNotHelp, TestSheddingRejectsNewRequestsOnly, TestPressureRisesTowardsTheLimit.

--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -71,6 +71,17 @@
 	})
 }
 
+// EvictWithoutRequest evicts the connections without a request, as for places: idle ones, and those that have stopped for some time before
+// a request was complete.
+func (l *Listener) EvictWithoutRequest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for c := nextEviction(now, l.evictionRules()); c != nil; c = nextEviction(now, l.evictionRules()) {
+		c.evict()
+	}
+}
+
 // evictIdle evicts all idle connections, and new ones that have sent nothing for minSilentAge. It returns the number of open
 // connections.
 func (l *Listener) evictIdle() int {
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -257,3 +257,40 @@
 		}
 	}
 }
+
+// When memory is short, requests are rejected before their bodies are read, and connections without a request make way; those whose request
+// was received get their answer.
+func TestSheddingRejectsNewRequestsOnly(t *testing.T) {
+	begun, proceed := make(chan struct{}, 1), make(chan struct{})
+	endpoint := testpeer.NewEndpoint(t, func(nc net.Conn, _ *http.Request, n int) bool {
+		if n == 1 {
+			begun <- struct{}{}
+			<-proceed
+		}
+		_, err := io.WriteString(nc, testpeer.ResponseOK)
+		return err == nil
+	})
+	p := startProxy(t, proxyOptions{bodyMemory: body.NewMemoryPool(1 << 20)}, endpoint.Addr)
+	open, silent := p.dialClient(t), p.dialClient(t)
+	io.WriteString(open, requestText("look", "open", ""))
+	<-begun
+	time.Sleep(minSilentAge)
+	p.server.SetShedding(true)
+	p.listener.EvictWithoutRequest()
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF { //nolint:errorlint // a connection returns it as it is
+		t.Errorf("a connection without a request got %v, want to be closed", err)
+	}
+	for _, content := range []string{"short", strings.Repeat("x", body.BufferSize+1)} {
+		if status := p.sendRequest(t, requestText("pay", fmt.Sprint("r-", len(content)), content)); status != http.StatusServiceUnavailable {
+			t.Errorf("a new request of %d bytes got status %d, want 503", len(content), status)
+		}
+	}
+	close(proceed)
+	if status := readStatus(open); status != http.StatusOK {
+		t.Errorf("the request that was open got status %d, want 200", status)
+	}
+	p.server.SetShedding(false)
+	if status := p.sendRequest(t, requestText("look", "after", "")); status != http.StatusOK {
+		t.Errorf("a request after the shortage got status %d, want 200", status)
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -70,6 +70,7 @@
 	stallDetector stallDetector
 	pipeline      pipelinePacer
 
+	isShedding        atomic.Bool               // new requests are rejected
 	closesConnections atomic.Bool               // every response closes its connection
 	shutdownDeadline  atomic.Pointer[time.Time] // time by which all requests must have their responses; nil: no shutdown has begun
 	shutdownExpired   chan struct{}             // closed shutdownResponseGrace after shutdownDeadline
@@ -111,6 +112,9 @@
 // SetCloseConnections sets whether every response from now on closes its connection.
 func (s *Server) SetCloseConnections(closes bool) { s.closesConnections.Store(closes) }
 
+// SetShedding sets whether valid requests are rejected from now on, before their bodies are read.
+func (s *Server) SetShedding(isShedding bool) { s.isShedding.Store(isShedding) }
+
 // HTTPServer returns an http.Server that serves the connections of a Listener. track is the Listener's Track.
 func (s *Server) HTTPServer(track func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{
@@ -181,6 +185,10 @@
 		s.rejectInvalid(w, rejected)
 		return
 	}
+	if s.isShedding.Load() {
+		request.reject(w, newShedRejection("memory is short"))
+		return
+	}
 	release, err := s.reserveBodyMemory(r, s.deadlineFrom(request, arrived))
 	if err != nil {
 		request.reject(w, memoryRejection(err))
--- a/internal/frontend/streaming.go
+++ b/internal/frontend/streaming.go
@@ -45,6 +45,10 @@
 		s.rejectInvalid(w, rejected)
 		return
 	}
+	if s.isShedding.Load() {
+		request.reject(w, newShedRejection("memory is short"))
+		return
+	}
 	controller := http.NewResponseController(w)
 	if err := controller.EnableFullDuplex(); err != nil {
 		s.rejectInvalid(w, newRejection(http.StatusBadRequest, "%w", err))
--- a/internal/memusage/limit.go
+++ b/internal/memusage/limit.go
@@ -16,7 +16,7 @@
 // programBytes is what the mapped program takes of each process's resident set (Usage.Shared): the limit of the runtime does not include
 // it, but that of the platform does.
 func RuntimeLimit(memoryMB, processes int, programBytes int64) int64 {
-	total := int64(memoryMB) * bytesPerMB / int64(processes)
+	total := LimitBytes(memoryMB, processes)
 	limit := min(total-programBytes-programReserve, int64(maxRuntimeFraction*float64(total)))
 	return max(limit, minRuntimeLimit)
 }
--- a/internal/memusage/memusage.go
+++ b/internal/memusage/memusage.go
@@ -34,14 +34,26 @@
 	metrics.Read(samples)
 	value := func(i int) int64 { return int64(samples[i].Value.Uint64()) }
 	u := Usage{LiveHeap: value(0), Runtime: value(1) - value(2), Stacks: value(3), Goroutines: value(4)}
-	if text, err := os.ReadFile("/proc/self/statm"); err == nil {
-		if resident, shared, err := parseStatm(string(text)); err == nil {
-			u.Resident, u.Shared = resident, shared
-		}
-	}
+	u.Resident, u.Shared = readStatm()
 	return u
 }
 
+// InUse returns the memory that the process takes for its work: the resident set, without what tools add to it that the runtime does not
+// know of, such as the race detector's shadow memory.
+func (u Usage) InUse() int64 { return min(u.Resident, u.Runtime+u.Shared) }
+
+// readStatm returns the resident and the shared memory in bytes; 0 if the system does not tell.
+func readStatm() (resident, shared int64) {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0, 0
+	}
+	if resident, shared, err = parseStatm(string(text)); err != nil {
+		return 0, 0
+	}
+	return resident, shared
+}
+
 // parseStatm returns the resident and the shared memory in bytes from the text of /proc/PID/statm (proc(5)), which has pages.
 func parseStatm(text string) (resident, shared int64, err error) {
 	fields := strings.Fields(text)
--- a/internal/memusage/memusage_test.go
+++ b/internal/memusage/memusage_test.go
@@ -56,3 +56,17 @@
 		}
 	}
 }
+
+func TestPressureRisesTowardsTheLimit(t *testing.T) {
+	const limit = 32_000_000
+	for resident, want := range map[int64]Pressure{
+		0: Relaxed, 23_900_000: Relaxed, 24_000_000: Watchful, 30_399_999: Watchful, 30_400_000: Tight, 31_040_000: Critical, 40_000_000: Critical,
+	} {
+		if got := PressureOf(resident, limit); got != want {
+			t.Errorf("%d bytes of %d: pressure %d, want %d", resident, limit, got, want)
+		}
+	}
+	if got := PressureOf(1<<40, 0); got != Relaxed {
+		t.Errorf("without a limit the pressure is %d, want none", got)
+	}
+}
--- a/internal/sidecar/hotrestart.go
+++ b/internal/sidecar/hotrestart.go
@@ -137,6 +137,7 @@
 	}
 	r.descriptorLimit = limit
 	if memoryMB := r.config.Limits.MemoryMB; memoryMB > 0 {
+		r.sidecar.memoryGuard.setProcesses(memoryMB, 1+len(view.Others))
 		debug.SetMemoryLimit(memusage.RuntimeLimit(memoryMB, 1+len(view.Others), memusage.Read().Shared))
 	}
 	r.sidecar.setConnectionLimit(r.config.ConnectionsWithin(limit))
--- a/internal/sidecar/resource_metrics.go
+++ b/internal/sidecar/resource_metrics.go
@@ -41,6 +41,8 @@
 	mu        sync.Mutex
 	listeners map[*listener]bool
 	pools     map[*pool]bool
+
+	isShedding bool // all listeners reject new requests
 }
 
 func newResources() *resources {
@@ -51,6 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listeners[l] = true
+	l.frontend.SetShedding(r.isShedding)
 }
 
 func (r *resources) removeListener(l *listener) {
@@ -71,6 +74,19 @@
 	delete(r.pools, p)
 }
 
+// setShedding makes all listeners reject new requests, and close connections without a request, or ends that.
+func (r *resources) setShedding(isShedding bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isShedding = isShedding
+	for l := range r.listeners {
+		l.frontend.SetShedding(isShedding)
+		if isShedding {
+			l.frontendListener.EvictWithoutRequest()
+		}
+	}
+}
+
 // countConnections returns the connections of clients, by state, and the number of those to endpoints.
 func (r *resources) countConnections() (clients frontend.ConnectionCounts, endpointConnections int) {
 	r.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,7 +6,8 @@
 // mutex from beginning to end. Each listener has a goroutine that accepts connections, in addition to those of net/http;
 // each pool has one for its event loop, one for its connections and one for discovery. A listener or pool that a reload
 // has removed has a goroutine that waits for its last request. In a cluster one goroutine follows the membership, and
-// another installs the agreed settings if the cluster agrees on settings. Hot restart has one that polls the shared
+// another installs the agreed settings if the cluster agrees on settings. If there is a memory limit, one
+// watches the resident set while Serve runs. Hot restart has one that polls the shared
 // directory. All goroutines end before Serve returns, except those of attempts that are still being cancelled then.
 //
 // Guarantee: every accepted request is served by the configuration that accepted it, and gets its response before Serve
@@ -43,6 +44,7 @@
 	retiring         sync.WaitGroup   // goroutines that wait for the last requests of removed configurations and listeners
 	metrics          *metrics.Registry
 	resources        *resources   // what is counted in the metrics
+	memoryGuard      *memoryGuard // keeps the process below its memory limit; nil: there is no limit
 	overrides        *overrides   // manual ejections of endpoints
 	cluster          *clusterNode // this daemon's membership in a cluster; nil: it is in none; fixed at the start
 	hotRestart       *hotRestart  // coordination with other processes of this sidecar; nil: hot restart is not in use
@@ -93,6 +95,7 @@
 		drainingListeners:     map[*listener]bool{},
 		runningPools:          map[*pool]bool{},
 	}
+	s.memoryGuard = newMemoryGuard(c.Limits.MemoryMB, s.resources.setShedding, log)
 	if c.BodyMemoryBytes > 0 {
 		s.bodyMemory = body.NewMemoryPool(c.BodyMemoryBytes)
 	}
@@ -144,6 +147,15 @@
 // response. If a listener fails, Serve returns the listener's error at once.
 func (s *Sidecar) Serve(ctx context.Context) error {
 	defer s.hotRestart.close()
+	stopGuard, guardEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(guardEnded)
+		s.memoryGuard.run(stopGuard)
+	}()
+	defer func() {
+		close(stopGuard)
+		<-guardEnded
+	}()
 	var finished <-chan struct{}
 	if s.hotRestart != nil {
 		finished = s.hotRestart.finished
