--- a/internal/frontend/arrival.go
+++ b/internal/frontend/arrival.go
@@ -40,11 +40,11 @@
 // sinceLastReceive returns how long ago the latest bytes were received on a request's connection, by the kernel's clock, and whether
 // the client has closed its sending side or reset the connection. The time is 0 if the kernel provides no information.
 func sinceLastReceive(r *http.Request) (elapsed time.Duration, isDisconnected bool) {
-	tcpInfo, err := requestTCPInfo(r)
+	state, err := requestSocketState(r)
 	if err != nil {
 		return 0, false
 	}
-	return time.Duration(tcpInfo.Last_data_recv) * time.Millisecond, hasPeerLeft(tcpInfo)
+	return state.SinceLastReceive(), state.HasPeerLeft()
 }
 
 // arrivalTime returns the time at which a request that is read now arrived at the latest, and whether its client has disconnected since. The
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"tuliprock/internal/body"
@@ -93,15 +92,11 @@
 
 // sinceReceived returns how long ago the latest bytes arrived, by the kernel's clock; 0 if that is not known.
 func (c *clientConn) sinceReceived() time.Duration {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	tcpInfo, err := socketTCPInfo(socket)
+	state, err := c.socketState()
 	if err != nil {
 		return 0
 	}
-	return time.Duration(tcpInfo.Last_data_recv) * time.Millisecond
+	return state.SinceLastReceive()
 }
 
 // recordReceived updates the state of the connection after bytes were read from it. Bytes that were received before an eviction took
--- a/internal/frontend/disconnect.go
+++ b/internal/frontend/disconnect.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"tuliprock/internal/socketinfo"
 )
 
 // isClientConnected reports whether a request's client is still connected. net/http detects a disconnect by reading from the
@@ -18,10 +18,10 @@
 // The request's context must be checked after the kernel was asked: a handler that notices a disconnect between the two checks first
 // ends the request, which cancels the context, and then closes the connection.
 func isClientConnected(r *http.Request) bool {
-	switch tcpInfo, err := requestTCPInfo(r); {
+	switch state, err := requestSocketState(r); {
 	case errors.Is(err, net.ErrClosed):
 		return false
-	case err == nil && hasPeerLeft(tcpInfo):
+	case err == nil && state.HasPeerLeft():
 		return false
 	}
 	return r.Context().Err() == nil
@@ -54,44 +54,23 @@
 	return !c.backlog.since.IsZero()
 }
 
-// TCP states of the Linux kernel (include/net/tcp_states.h).
-const (
-	stateClose     = 7 // TCP_CLOSE: the connection was reset
-	stateCloseWait = 8 // TCP_CLOSE_WAIT: the peer has closed its sending side
-)
+// errNoSocket is returned for a connection that is not a socket.
+var errNoSocket = errors.New("the connection is not a socket")
 
-// hasPeerLeft reports whether a connection's peer has closed its sending side or reset the connection.
-func hasPeerLeft(tcpInfo *unix.TCPInfo) bool {
-	return tcpInfo.State == stateCloseWait || tcpInfo.State == stateClose
+// requestSocketState returns the kernel's state of a request's connection. The error is net.ErrClosed if this process has closed the
+// connection, and errNoSocket if the connection is not a socket.
+func requestSocketState(r *http.Request) (socketinfo.State, error) {
+	if c := connOf(r); c != nil {
+		return c.socketState()
+	}
+	return socketinfo.State{}, errNoSocket
 }
 
-// errNoTCPInfo is returned for a connection that is not a socket.
-var errNoTCPInfo = errors.New("the connection has no TCP_INFO")
-
-// requestTCPInfo returns the kernel's TCP_INFO of a request's connection. The error is net.ErrClosed if this process has closed the
-// connection, and errNoTCPInfo if the connection is not a socket.
-func requestTCPInfo(r *http.Request) (*unix.TCPInfo, error) {
-	c := connOf(r)
-	if c == nil {
-		return nil, errNoTCPInfo
-	}
+// socketState is requestSocketState for a connection.
+func (c *clientConn) socketState() (socketinfo.State, error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return nil, errNoTCPInfo
-	}
-	return socketTCPInfo(socket)
-}
-
-// socketTCPInfo returns the kernel's TCP_INFO of a socket. The error is net.ErrClosed if this process has closed the socket.
-func socketTCPInfo(socket syscall.Conn) (*unix.TCPInfo, error) {
-	rawConn, err := socket.SyscallConn()
-	if err != nil {
-		return nil, err
+		return socketinfo.State{}, errNoSocket
 	}
-	var tcpInfo *unix.TCPInfo
-	var optionErr error
-	err = rawConn.Control(func(fd uintptr) {
-		tcpInfo, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return tcpInfo, errors.Join(err, optionErr)
+	return socketinfo.Read(socket)
 }
--- a/internal/frontend/disconnect_stress_test.go
+++ b/internal/frontend/disconnect_stress_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"tuliprock/internal/body"
+	"tuliprock/internal/socketinfo"
 	"tuliprock/internal/testkit/testpeer"
 )
 
@@ -34,11 +35,11 @@
 			return
 		}
 		arrivedAt := time.Now()
-		tcpInfo, err := socketTCPInfo(conn.(*net.TCPConn))
+		state, err := socketinfo.Read(conn.(*net.TCPConn))
 		if err != nil {
 			return
 		}
-		arrivedAt = arrivedAt.Add(-time.Duration(tcpInfo.Last_data_recv) * time.Millisecond)
+		arrivedAt = arrivedAt.Add(-state.SinceLastReceive())
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
--- a/internal/frontend/wait_tracker.go
+++ b/internal/frontend/wait_tracker.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"tuliprock/internal/socketinfo"
 )
 
 // waitTracker records when a read of a client's connection had to wait for the client. It does so only once it is enabled, since it
@@ -42,19 +42,8 @@
 
 // unreadBytes returns how many bytes have arrived on a connection that were not read yet; 0 if that is not known.
 func unreadBytes(conn net.Conn) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
+	if socket, ok := conn.(syscall.Conn); ok {
+		return socketinfo.UnreadBytes(socket)
 	}
-	rawConn, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	count := 0
-	_ = rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			count = n
-		}
-	})
-	return count
+	return 0
 }
--- a/internal/testkit/crowd/socket.go
+++ b/internal/testkit/crowd/socket.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"tuliprock/internal/socketinfo"
 )
 
 // Buffers and segments of the sockets of crowds: those of a client on a network rather than on loopback, whose large segments let the
@@ -29,23 +31,12 @@
 	return errors.Join(err, optionErr)
 }
 
-// stateEstablished is the state of a TCP connection that both sides keep open (include/net/tcp_states.h).
-const stateEstablished = 1
-
 // isReset reports whether the peer of a connection has reset it or closed it, without reading from it.
 func isReset(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	hasEnded := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		hasEnded = err == nil && info.State != stateEstablished
-	})
-	return err != nil || hasEnded
+	state, err := socketinfo.Read(socket)
+	return err != nil || !state.IsEstablished()
 }
--- a/internal/upstream/client_progress.go
+++ b/internal/upstream/client_progress.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tuliprock/internal/body"
+	"tuliprock/internal/socketinfo"
 )
 
 // progressChecksPerWait is how often, in the time that the client's meter allows for a wait, clientProgress looks at what the client
@@ -89,15 +88,9 @@
 // bytesAcknowledged returns how many bytes the kernel of a connection's peer has acknowledged since the connection began, or 0 if that
 // is not known.
 func bytesAcknowledged(conn *net.TCPConn) uint64 {
-	rawConn, err := conn.SyscallConn()
+	state, err := socketinfo.Read(conn)
 	if err != nil {
 		return 0
 	}
-	var acked uint64
-	_ = rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			acked = info.Bytes_acked
-		}
-	})
-	return acked
+	return state.BytesAcknowledged()
 }
