Buffered responses and connections to endpoints are bounded by the memory

A buffered response counted nowhere; how many there are followed from the endpoints' capacity. Responses of over 4 KiB now take memory from a budget of their own until the collector has freed them (MemoryPool.Allocate: nobody has to release them; a waiter causes a collection). A response that finds many bodies waiting for memory is given up at once, an endpoint connection costs about 18 KiB and there are 6 for each MB, bodies share a tenth of what the program leaves, and the runtime's limit leaves 3 MB for what is allocated during a collection.

--- a/internal/body/memory_pool.go
+++ b/internal/body/memory_pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // BufferSize is the size in bytes of a streaming body's buffer. A body that fits into it is buffered completely instead.
@@ -38,7 +39,9 @@
 	total   int // bytes that the budget divides; never changes
 	budget  *MemoryBudget
 	waiters map[int]chan struct{} // channels by the ID of a queued request, each closed when its request is granted
-	buffers sync.Pool             // unused buffers, each a *[]byte of BufferSize bytes
+	// collectedAt is when the pool has caused a garbage collection for the last time.
+	collectedAt time.Time
+	buffers     sync.Pool // unused buffers, each a *[]byte of BufferSize bytes
 }
 
 // NewMemoryPool returns a MemoryPool of total bytes, of which a quarter is reserved for buffered bodies.
@@ -109,6 +112,17 @@
 	return bytes, p.budget.Waiting()
 }
 
+// maxQueueFactor is how many bodies may wait for a buffer, as a multiple of how many can have one, before HasLongQueue reports so.
+const maxQueueFactor = 2
+
+// HasLongQueue reports whether so many bodies wait for memory that one more should not wait: each holds connections and goroutines
+// meanwhile.
+func (p *MemoryPool) HasLongQueue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Waiting() >= maxQueueFactor*max(p.total/BufferSize, 1)
+}
+
 // AcquireBuffer acquires a buffer of BufferSize bytes. It waits and fails as Acquire does. The returned reference, and each that
 // Buffer.Retain derives from it, must be released when its holder does not use the bytes any more.
 func (p *MemoryPool) AcquireBuffer(ctx context.Context) (*Buffer, error) {
--- a/internal/config/platform_service.go
+++ b/internal/config/platform_service.go
@@ -26,7 +26,7 @@
 
 	// platformBodyMemoryDivisor is the ratio of what the mapped program leaves of a sidecar's memory limit to its memory budget for bodies.
 	// The budget is small because two processes share the memory limit during a hot restart.
-	platformBodyMemoryDivisor = 8
+	platformBodyMemoryDivisor = 10
 	// platformProgramMB is about how many megabytes of the memory limit the mapped program takes.
 	platformProgramMB     = 12
 	minPlatformBodyMemory = 1 << 20
@@ -35,6 +35,9 @@
 	// once. A head takes several times its length while it is parsed and forwarded.
 	platformHeadMemoryDivisor = 16
 	minPlatformHeadBytes      = 4 << 10
+
+	// platformEndpointConnectionsPerMB limits the connections to endpoints by the memory limit. One with an attempt takes about 18 KiB.
+	platformEndpointConnectionsPerMB = 6
 )
 
 // The maximum number of operators' connections is the limit on sockets divided by operatorSocketDivisor, but at least
@@ -60,6 +63,7 @@
 	s.TerminationGrace = terminationGrace(c.Settings.LongestClientWait)
 	s.DrainTimeout = s.TerminationGrace - abortReportTime
 	s.BodyMemoryBytes = max((c.Limits.MemoryMB-platformProgramMB)<<20/platformBodyMemoryDivisor, minPlatformBodyMemory)
+	s.ResponseMemoryBytes = s.BodyMemoryBytes / 2
 	connectionLimit := s.ConnectionsWithin(c.Limits.Sockets)
 	listener, pool := c.platformListener(connectionLimit), c.platformPool(connectionLimit, settings)
 	if c.ListenDescriptor > 0 { // several processes of the sidecar may run at a time and share the inherited socket
@@ -92,7 +96,7 @@
 func (c Config) platformPool(connectionLimit int, settings balance.Settings) PoolSpec {
 	return PoolSpec{
 		Name: platformName, Settings: settings, Source: SourceSpec{Agent: c.Discovery, LastUpdate: c.LastUpdate},
-		MaxConnections: connectionLimit, DialTimeout: c.Settings.DialTimeout, IdleTimeout: c.Settings.IdleConnectionTimeout,
+		MaxConnections: min(connectionLimit, platformEndpointConnectionsPerMB*c.Limits.MemoryMB), DialTimeout: c.Settings.DialTimeout, IdleTimeout: c.Settings.IdleConnectionTimeout,
 		StartsAtLastByte: true, AcceptsOnlyStatusOK: true, MaxResponseBytes: platformMaxBodyBytes,
 		MinStreamRate: body.MinimumRate{IdleTimeout: platformStreamIdleTimeout},
 	}
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -117,3 +117,17 @@
 		t.Errorf("96 MiB, 512 descriptors: %d connections, want 236", got)
 	}
 }
+
+// Attempts at endpoints must fit the memory beside the clients' connections.
+func TestPlatformEndpointConnectionsFitMemory(t *testing.T) {
+	for _, row := range []struct{ memoryMB, sockets, want int }{{32, 1024, 192}, {32, 256, 108}, {192, 1024, 492}} {
+		c := Config{Limits: Limits{Cores: 1, MemoryMB: row.memoryMB, Sockets: row.sockets}, Listen: "127.0.0.1:1", Discovery: "127.0.0.1:2"}
+		s, err := c.Service()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Pools[0].MaxConnections; got != row.want {
+			t.Errorf("%d MB, %d sockets: %d connections to endpoints, want %d", row.memoryMB, row.sockets, got, row.want)
+		}
+	}
+}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -25,9 +25,11 @@
 	File                     *File        // operators' file that the Service was converted from; nil if it is from the platform's file
 	RejectsWhenIndeterminate bool         // requests are rejected while it is indeterminate which version of the settings other daemons act on
 
-	BodyMemoryBytes  int           // memory budget for bodies in bytes; 0 if all bodies are buffered and need a Content-Length
-	DrainTimeout     time.Duration // time from the shutdown signal until bodies that are still streaming are aborted
-	TerminationGrace time.Duration // time from the shutdown signal until the process may be killed
+	BodyMemoryBytes int // memory budget for bodies in bytes; 0 if all bodies are buffered and need a Content-Length
+	// ResponseMemoryBytes is the memory budget for buffered responses, in bytes; 0 if they are not counted.
+	ResponseMemoryBytes int
+	DrainTimeout        time.Duration // time from the shutdown signal until bodies that are still streaming are aborted
+	TerminationGrace    time.Duration // time from the shutdown signal until the process may be killed
 }
 
 // PoolSpec is the complete configuration of a pool.
--- a/internal/memusage/limit.go
+++ b/internal/memusage/limit.go
@@ -5,9 +5,9 @@
 	bytesPerMB = 1_000_000
 	// maxRuntimeFraction is the largest part of a limit that the Go runtime may use before it collects garbage more often.
 	maxRuntimeFraction = 0.7
-	// programReserve is the memory of a process, in bytes, that is neither the Go runtime's nor resident when the process starts: pages of
-	// the program that are used later, and the C library's.
-	programReserve = 1 << 20
+	// programReserve is what a process needs, in bytes, beside the runtime's limit and what is resident when it starts: pages of the program
+	// that are used later, the C library's, and what is allocated while a garbage collection runs.
+	programReserve = 3 << 20
 	// minRuntimeLimit is the smallest limit of the runtime, in bytes: below it the runtime would collect garbage all the time.
 	minRuntimeLimit = 8 << 20
 )
--- a/internal/memusage/pressure.go
+++ b/internal/memusage/pressure.go
@@ -15,8 +15,8 @@
 // limit is the memory that is taken on while the resident set is being read and garbage is being collected.
 const (
 	watchfulPercent = 75
-	tightPercent    = 95
-	criticalPercent = 97
+	tightPercent    = 92
+	criticalPercent = 95
 )
 
 // PressureOf returns the pressure of a resident set under a limit, both in bytes. A limit of 0 means that there is none.
--- a/internal/sidecar/hotrestart.go
+++ b/internal/sidecar/hotrestart.go
@@ -215,7 +215,7 @@
 		l.setMaxConnections(limit)
 	}
 	for p := range s.runningPools {
-		p.upstream.SetMaxConnections(limit)
+		p.upstream.SetMaxConnections(min(limit, p.spec.MaxConnections))
 	}
 }
 
--- a/internal/sidecar/memory_guard.go
+++ b/internal/sidecar/memory_guard.go
@@ -12,7 +12,7 @@
 
 // Intervals of the memory guard.
 const (
-	relaxedCheckInterval  = 250 * time.Millisecond // while the resident set is far below the limit
+	relaxedCheckInterval  = 100 * time.Millisecond // while the resident set is far below the limit
 	watchfulCheckInterval = 25 * time.Millisecond  // while it is not
 	// minCollectInterval is the least time between two collections that the guard causes, each of which costs some milliseconds.
 	minCollectInterval = 500 * time.Millisecond
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -42,7 +42,7 @@
 // newPool starts a pool. Before any other event the balancer gets the last endpoint list that the discovery agent sent
 // before this process started, which the configuration holds; the list is empty if there was none.
 func newPool(
-	newBalancer eventloop.BalancerFactory, spec config.PoolSpec, bodyMemory *body.MemoryPool, idClaims eventloop.IDClaims,
+	newBalancer eventloop.BalancerFactory, spec config.PoolSpec, bodyMemory, responseMemory *body.MemoryPool, idClaims eventloop.IDClaims,
 	registry *metrics.Registry, log *slog.Logger,
 ) *pool {
 	p := &pool{spec: spec, log: log, members: discovery.NewMemberCache(endpointset.Options{})}
@@ -62,6 +62,7 @@
 		AcceptOnlyStatusOK:      spec.AcceptsOnlyStatusOK,
 		RequestStart:            requestStart,
 		BodyMemory:              bodyMemory,
+		ResponseMemory:          responseMemory,
 		MinimumRate:             spec.MinStreamRate,
 		BufferedResponseTimeout: spec.BufferedResponseTimeout,
 		MaxResponseBody:         spec.MaxResponseBytes,
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -125,11 +125,11 @@
 
 // startPool starts a pool with the current manual ejections and connection limit. s.mu is held.
 func (s *Sidecar) startPool(spec config.PoolSpec) *pool {
-	p := newPool(s.newBalancer, spec, s.bodyMemory, s.idClaims, s.metrics, s.log.With("pool", spec.Name))
+	p := newPool(s.newBalancer, spec, s.bodyMemory, s.responseMemory, s.idClaims, s.metrics, s.log.With("pool", spec.Name))
 	s.runningPools[p] = true
 	s.resources.addPool(p)
 	if s.connectionLimit > 0 {
-		p.upstream.SetMaxConnections(s.connectionLimit)
+		p.upstream.SetMaxConnections(min(s.connectionLimit, spec.MaxConnections))
 	}
 	s.overrides.addPool(p)
 	s.cluster.addPool(p)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	activeRoutes     frontend.ActiveRouteConfig
 	listenerFailed   chan error       // holds the error of the first listener that failed
 	bodyMemory       *body.MemoryPool // memory for streaming bodies; nil: all bodies are buffered; fixed at the start
+	responseMemory   *body.MemoryPool // memory for buffered responses; nil: they are not counted; fixed at the start
 	retiring         sync.WaitGroup   // goroutines that wait for the last requests of removed configurations and listeners
 	metrics          *metrics.Registry
 	resources        *resources   // what is counted in the metrics
@@ -99,6 +100,9 @@
 	if c.BodyMemoryBytes > 0 {
 		s.bodyMemory = body.NewMemoryPool(c.BodyMemoryBytes)
 	}
+	if c.ResponseMemoryBytes > 0 {
+		s.responseMemory = body.NewMemoryPool(c.ResponseMemoryBytes)
+	}
 	var err error
 	if s.cluster, err = startCluster(c, log); err != nil {
 		return nil, err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,6 +45,9 @@
 	RequestStart RequestStart
 	// BodyMemory is the memory for streaming responses; nil means that responses must be buffered.
 	BodyMemory *body.MemoryPool
+	// ResponseMemory is the memory for buffered responses of over 4 KiB, which count until they were written to their clients and collected;
+	// nil means that they are not counted.
+	ResponseMemory *body.MemoryPool
 	// MinimumRate is the rate that endpoints must keep while they send or receive streaming bodies.
 	MinimumRate body.MinimumRate
 	// BufferedResponseTimeout is the maximum time without a byte within a buffered response, and the time by which it may be behind
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -94,11 +94,10 @@
 	if x.isStreaming(resp) {
 		return x.streamResponse(ctx, resp)
 	}
-	if deadline := x.deadline(ctx); x.request.NeverRetried && !deadline.IsZero() {
-		_ = x.conn.setMinimumRate(body.MinimumRate{}) // this and the next fail only on a closed connection, on which the read fails, too
-		_ = x.conn.SetReadDeadline(deadline)
+	content, err := x.readBufferedBody(ctx, resp)
+	if errors.Is(err, errNoResponseMemory) {
+		return outcome{result: balance.Canceled} // balance.Canceled does not count against the endpoint
 	}
-	content, err := readBufferedBody(resp)
 	if err == nil {
 		err = x.conn.setMinimumRate(body.MinimumRate{})
 	}
@@ -109,16 +108,21 @@
 }
 
 // readBufferedBody reads a body of at most maxBufferedBodyBytes to its end. A body of known length takes as much memory as its length.
-func readBufferedBody(resp *http.Response) ([]byte, error) {
+func (x *exchange) readBufferedBody(ctx context.Context, resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
 	if resp.Body == http.NoBody { // the length may be that of a response with a body, as after HEAD
 		return nil, nil
 	}
 	if length := resp.ContentLength; length >= 0 && length <= maxBufferedBodyBytes {
-		content := make([]byte, length)
-		_, err := io.ReadFull(resp.Body, content)
+		content, err := x.allocate(ctx, int(length))
+		if err != nil {
+			return nil, err
+		}
+		x.beginBufferedBody(ctx)
+		_, err = io.ReadFull(resp.Body, content)
 		return content, err
 	}
+	x.beginBufferedBody(ctx)
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes+1))
 	if err == nil && len(content) > maxBufferedBodyBytes {
 		err = fmt.Errorf("%w: body of more than %d bytes is too long", errMalformed, maxBufferedBodyBytes)
@@ -126,6 +130,41 @@
 	return content, err
 }
 
+// beginBufferedBody sets how long the endpoint may take for the body of a buffered response: as long as the request's client waits, if
+// the request is never retried, and otherwise at bufferedResponseRate, counted from now.
+func (x *exchange) beginBufferedBody(ctx context.Context) {
+	if deadline := x.deadline(ctx); x.request.NeverRetried && !deadline.IsZero() {
+		_ = x.conn.setMinimumRate(body.MinimumRate{}) // these calls fail only on a closed connection, on which the read fails, too
+		_ = x.conn.SetReadDeadline(deadline)
+		return
+	}
+	_ = x.conn.setMinimumRate(x.client.bufferedResponseRate())
+}
+
+// uncountedResponseBytes is the length of a response's body up to which it does not count in Options.ResponseMemory.
+const uncountedResponseBytes = 4 << 10
+
+// errNoResponseMemory means that a response was not read, because no memory for it was free before the attempt ended.
+var errNoResponseMemory = errors.New("no memory for the response")
+
+// allocate returns a slice of n bytes for a response's body. It waits until the attempt ends while there is no memory for it.
+func (x *exchange) allocate(ctx context.Context, n int) ([]byte, error) {
+	pool := x.client.options.ResponseMemory
+	if pool == nil || n <= uncountedResponseBytes {
+		return make([]byte, n), nil
+	}
+	if deadline := x.deadline(ctx); !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	content, err := pool.Allocate(ctx, n)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoResponseMemory, err)
+	}
+	return content, nil
+}
+
 // classify returns the outcome of an exchange whose response was received completely.
 func (x *exchange) classify(resp *http.Response, content []byte) outcome {
 	isReusable := x.isReusableAfter(resp)
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -88,7 +87,12 @@
 			if err := x.conn.SetReadDeadline(time.Time{}); !errors.Is(s.err, io.EOF) || err != nil {
 				return outcome{result: x.conn.failedResponseResult(ctx, s.err)}
 			}
-			return x.classify(resp, bytes.Clone(s.buffer[:s.filledBytes]))
+			content, err := x.allocate(ctx, s.filledBytes)
+			if err != nil {
+				return outcome{result: balance.Canceled} // balance.Canceled does not count against the endpoint
+			}
+			copy(content, s.buffer)
+			return x.classify(resp, content)
 		}
 	}
 	handOver()
@@ -141,7 +145,7 @@
 	return outcome{result: balance.Reset}
 }
 
-// acquireBuffer returns the buffer for a response, which the caller must release. If the request's upload no longer needs its
+// acquireBuffer returns the buffer for a response, which the caller must release. It fails at once if many bodies wait for memory. If the request's upload no longer needs its
 // buffer, the response gets that buffer, so that an exchange which already has a buffer does not wait for a second one.
 func (x *exchange) acquireBuffer(ctx context.Context) (*body.Buffer, error) {
 	if upload := x.request.Upload; upload != nil {
@@ -149,6 +153,9 @@
 			return buffer, nil
 		}
 	}
+	if x.client.options.BodyMemory.HasLongQueue() {
+		return nil, errNoResponseMemory
+	}
 	return x.client.options.BodyMemory.AcquireBuffer(ctx)
 }
 
