--- a/internal/body/collected_test.go
+++ b/internal/body/collected_test.go
@@ -27,7 +27,7 @@
 		t.Errorf("with all memory held an allocation returned %v, want that its context ended", err)
 	}
 	runtime.KeepAlive(held)
-	held = nil
+	clear(held)
 	ctx, cancel := context.WithTimeout(t.Context(), testpeer.Timeout)
 	defer cancel()
 	for range 20 { // five times the budget; nobody uses a slice for long
--- a/internal/eventloop/requestlog.go
+++ b/internal/eventloop/requestlog.go
@@ -35,6 +35,9 @@
 
 // logEnd logs that a request has ended without an endpoint's response.
 func (l *Loop) logEnd(now time.Duration, c *Call, verdict Verdict, reason endReason) {
+	if !l.requestLog.Allows() {
+		return
+	}
 	attributes := []any{
 		"id", c.ID, "class", c.Class, "verdict", verdict, "reason", reason, "attempts", len(c.cancelAttempts),
 		"age_ms", (now - c.submittedAt).Milliseconds(), "left_ms", (c.Deadline - now).Milliseconds(),
@@ -45,14 +48,14 @@
 	if upload := c.upload(); upload != nil {
 		attributes = append(attributes, "body_bytes", upload.Size, "body_received", upload.ReceivedBytes())
 	}
-	l.requestLog.Info("request ended without a response", attributes...)
+	l.requestLog.Write("request ended without a response", attributes...)
 }
 
 // logAttempt logs an attempt that got no response.
 func (l *Loop) logAttempt(c *Call, o balance.Outcome) {
-	if o.Result == balance.OK {
+	if o.Result == balance.OK || !l.requestLog.Allows() {
 		return
 	}
-	l.requestLog.Info("attempt failed", "id", c.ID, "attempt", o.AttemptNumber, "endpoint", o.Endpoint, "result", o.Result,
+	l.requestLog.Write("attempt failed", "id", c.ID, "attempt", o.AttemptNumber, "endpoint", o.Endpoint, "result", o.Result,
 		"latency_ms", o.Latency.Milliseconds(), "reused_connection", o.ReusedConnection, "may_have_run", o.Result.MayHaveRun(), "final", o.IsFinal)
 }
--- a/internal/loglimit/loglimit.go
+++ b/internal/loglimit/loglimit.go
@@ -32,15 +32,24 @@
 
 // Info writes a line at level Info, as slog.Logger.Info does, or omits it.
 func (l *Logger) Info(message string, attributes ...any) {
+	if l.Allows() {
+		l.Write(message, attributes...)
+	}
+}
+
+// Allows reports whether a line may be written now, and counts it as written or omitted. A caller whose lines are costly to make calls
+// Allows first, and Write only if it returns true.
+func (l *Logger) Allows() bool {
 	isAllowed, omitted := l.admit()
 	if omitted > 0 {
 		l.log.Info("log lines omitted", "count", omitted)
 	}
-	if isAllowed {
-		l.log.Info(message, attributes...)
-	}
+	return isAllowed
 }
 
+// Write writes a line at level Info for which Allows has returned true.
+func (l *Logger) Write(message string, attributes ...any) { l.log.Info(message, attributes...) }
+
 // admit reports whether a line may be written now, and how many were omitted in earlier windows.
 func (l *Logger) admit() (isAllowed bool, omitted int) {
 	l.mu.Lock()
--- a/internal/upstream/response_memory_test.go
+++ b/internal/upstream/response_memory_test.go
@@ -51,7 +51,7 @@
 		t.Errorf("a short response beside them ended as %v with %d bytes", result, len(response.Body))
 	}
 	_, _ = io.Discard.Write(held[0].Body) // the responses are in use until here
-	held = nil
+	clear(held)
 	if result, _ := attempt("/long", testpeer.Timeout); result != balance.OK {
 		t.Errorf("after the responses were written a further one ended as %v", result)
 	}
