Crowd kit: endpoint list and addresses come from testpeer; node names both daemons

Read once more: the kit wrote testpeer's endpoint list again, and took free addresses by closing a listener, which another test's process can bind before the daemon (the fault that testpeer.FreeAddress was written for). A field that nothing read is gone. The deploy file's node names cmd/tuliprock beside cmd/tuliprockd, since both are the daemon; the test requires both. internal/simwire stays out on purpose: the daemon uses only its decoder of settings, and the test says so.

--- a/cmd/tuliprock/crowd_test.go
+++ b/cmd/tuliprock/crowd_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"tuliprock/internal/testkit/crowd"
+	"tuliprock/internal/testkit/testpeer"
 )
 
 // The smallest limits that the platform gives a process, and the number of clients that are connected at once.
@@ -53,6 +54,7 @@
 	}
 	o := crowd.Options{
 		Program: func() *exec.Cmd { return exec.Command(path) }, Dir: t.TempDir(),
+		Addr: testpeer.FreeAddress(t), AdminAddr: testpeer.FreeAddress(t),
 		MemoryMB: smallestMemoryMB, Descriptors: crowdDescriptors, Endpoints: 6, Seed: seed,
 	}
 	if change != nil {
@@ -73,7 +75,7 @@
 		clients.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				c := &crowd.Client{Addr: stage.Addr, Random: random, Deadline: 2500 * time.Millisecond}
+				c := &crowd.Client{Addr: stage.Addr, Deadline: 2500 * time.Millisecond}
 				if c.Run(ctx, forms[random.IntN(len(forms))]) != nil {
 					time.Sleep(50 * time.Millisecond)
 				}
--- a/cmd/tuliprock/deploy_test.go
+++ b/cmd/tuliprock/deploy_test.go
@@ -57,7 +57,7 @@
 	}
 	// Two folders are not expected in the list: that of the balancer, whose files are listed under "policy", and internal/simwire, which
 	// belongs to the simulator and of which the daemon uses only the decoder of settings.
-	want := []string{"cmd/tuliprockd"}
+	want := []string{"cmd/tuliprock", "cmd/tuliprockd"} // the daemon is either program: tuliprock without an argument is tuliprockd
 	for _, folder := range findDaemonImports(t, root) {
 		if folder != filepath.Dir(deploy.Policy[0]) && folder != "internal/simwire" {
 			want = append(want, folder)
--- a/internal/testkit/crowd/agent.go
+++ b/internal/testkit/crowd/agent.go
@@ -1,7 +1,6 @@
 package crowd
 
 import (
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,34 +11,16 @@
 // keepAliveInterval is the time between two empty lines of a watch on which nothing changes (the platform's protocol page).
 const keepAliveInterval = 2 * time.Second
 
-// member is an entry of the endpoint list in the agent's JSON form.
-type member struct {
-	ID     string  `json:"id"`
-	Addr   string  `json:"addr"`
-	Zone   string  `json:"zone"`
-	Kind   string  `json:"kind"`
-	Cell   int     `json:"cell"`
-	State  string  `json:"state"`
-	Weight float64 `json:"weight"`
-}
-
-// memberList is an endpoint list in the agent's JSON form.
-type memberList struct {
-	Version int      `json:"version"`
-	Full    bool     `json:"full"`
-	Servers []member `json:"servers"`
-}
-
 // agent is a discovery agent with a list that does not change.
 type agent struct {
 	addr      string
-	list      memberList
+	list      string // endpoint list in the agent's JSON form
 	server    *http.Server
 	endOnce   sync.Once
 	hasClosed chan struct{}
 }
 
-func startAgent(list memberList) (*agent, error) {
+func startAgent(list string) (*agent, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -57,7 +38,7 @@
 
 // ServeHTTP implements http.Handler.
 func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_ = json.NewEncoder(w).Encode(a.list) // an error means that the daemon has ended
+	_, _ = io.WriteString(w, a.list+"\n") // an error means that the daemon has ended
 	if r.URL.Query().Get("watch") == "" {
 		return
 	}
--- a/internal/testkit/crowd/client.go
+++ b/internal/testkit/crowd/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,7 +27,6 @@
 // ends.
 type Client struct {
 	Addr     string
-	Random   *rand.Rand
 	Deadline time.Duration // how long it says that it waits for a response
 	conn     net.Conn
 }
--- a/internal/testkit/crowd/daemon.go
+++ b/internal/testkit/crowd/daemon.go
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"tuliprock/internal/testkit/testpeer"
 )
 
 // Classes of the requests, by what their settings allow to repeat.
@@ -30,6 +32,8 @@
 // Options configures a Stage.
 type Options struct {
 	Program     func() *exec.Cmd // returns the command that runs the daemon
+	Addr        string           // address for clients, at which nothing listens
+	AdminAddr   string           // operators' address, at which nothing listens
 	Dir         string           // directory for the configuration, which must exist
 	MemoryMB    int              // memory limit that the configuration names
 	Descriptors int              // limit of descriptors that the configuration names and the process gets
@@ -89,30 +93,25 @@
 
 // Start starts the endpoints, the agent and the daemon, and waits until the daemon serves.
 func Start(o Options) (stage *Stage, err error) {
-	s := &Stage{options: o, log: &logFile{}}
+	s := &Stage{Addr: o.Addr, AdminAddr: o.AdminAddr, options: o, log: &logFile{}}
 	defer func() {
 		if err != nil {
 			s.Close()
 		}
 	}()
-	list := memberList{Version: 41, Full: true}
+	var members []string
 	for i := range o.Endpoints {
 		e, err := StartEndpoint()
 		if err != nil {
 			return nil, err
 		}
 		s.Endpoints = append(s.Endpoints, e)
-		list.Servers = append(list.Servers, member{ID: fmt.Sprint("s-", i), Addr: e.Addr, Zone: "z", Kind: "k", Cell: 1, State: "Ready", Weight: 1})
+		members = append(members, testpeer.EncodeMember(fmt.Sprint("s-", i), e.Addr, "Ready"))
 	}
+	list := testpeer.EncodeMembers(41, true, members...)
 	if s.agent, err = startAgent(list); err != nil {
 		return nil, err
 	}
-	if s.Addr, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	if s.AdminAddr, err = freeAddress(); err != nil {
-		return nil, err
-	}
 	if err := s.writeConfig(list); err != nil {
 		return nil, err
 	}
@@ -120,7 +119,7 @@
 }
 
 // writeConfig writes the daemon's configuration in the platform's form.
-func (s *Stage) writeConfig(list memberList) error {
+func (s *Stage) writeConfig(list string) error {
 	type class struct {
 		Name, Semantics       string
 		OnTimeUs, HardLimitUs int64
@@ -137,7 +136,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": s.Addr, "admin_addr": s.AdminAddr, "discovery": s.agent.addr, "seed": fmt.Sprintf("%016x", s.options.Seed|1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": s.options.MemoryMB, "sockets": s.options.Descriptors},
-		"known":  list, "settings": settings,
+		"known":  json.RawMessage(list), "settings": settings,
 	})
 	if err != nil {
 		return err
@@ -230,16 +229,6 @@
 	}
 }
 
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // Memory is the resident memory of a process, in KiB, from /proc/PID/status.
 type Memory struct {
 	Peak      int // highest resident set so far (VmHWM)
--- a/internal/testkit/crowd/play.go
+++ b/internal/testkit/crowd/play.go
@@ -142,7 +142,7 @@
 	case <-time.After(time.Duration(random.IntN(2000)) * time.Millisecond):
 	}
 	for ctx.Err() == nil {
-		c := &Client{Addr: r.stage.Addr, Random: random, Deadline: 2500 * time.Millisecond}
+		c := &Client{Addr: r.stage.Addr, Deadline: 2500 * time.Millisecond}
 		if c.Run(ctx, r.play.Forms[random.IntN(len(r.play.Forms))]) != nil {
 			time.Sleep(50 * time.Millisecond)
 		}
