--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return err
 	}
+	s.GuardMemory()
 	go reloadOnHangup(s, hangups, source, log) // runs until the process ends
 	return s.Serve(ctx)
 }
--- a/internal/sidecar/memory_guard.go
+++ b/internal/sidecar/memory_guard.go
@@ -49,16 +49,29 @@
 	}
 }
 
-// run checks the memory until stop is closed.
-func (g *memoryGuard) run(stop <-chan struct{}) {
+// start checks the memory on a goroutine of its own, which has ended when the returned function returns.
+func (g *memoryGuard) start() (stop func()) {
 	if g == nil {
-		return
+		return func() {}
 	}
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.run(stopped)
+	}()
+	return func() {
+		close(stopped)
+		<-ended
+	}
+}
+
+// run checks the memory until stopped is closed.
+func (g *memoryGuard) run(stopped <-chan struct{}) {
 	timer := time.NewTimer(relaxedCheckInterval)
 	defer timer.Stop()
 	for {
 		select {
-		case <-stop:
+		case <-stopped:
 			return
 		case <-timer.C:
 			timer.Reset(g.check(time.Now()))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,8 +6,8 @@
 // mutex from beginning to end. Each listener has a goroutine that accepts connections, in addition to those of net/http;
 // each pool has one for its event loop, one for its connections and one for discovery. A listener or pool that a reload
 // has removed has a goroutine that waits for its last request. In a cluster one goroutine follows the membership, and
-// another installs the agreed settings if the cluster agrees on settings. If there is a memory limit, one
-// watches the resident set while Serve runs. Hot restart has one that polls the shared
+// another installs the agreed settings if the cluster agrees on settings. One watches the resident
+// set while Serve runs, if there is a memory limit and GuardMemory was called. Hot restart has one that polls the shared
 // directory. All goroutines end before Serve returns, except those of attempts that are still being cancelled then.
 //
 // Guarantee: every accepted request is served by the configuration that accepted it, and gets its response before Serve
@@ -46,6 +46,7 @@
 	metrics          *metrics.Registry
 	resources        *resources   // what is counted in the metrics
 	memoryGuard      *memoryGuard // keeps the process below its memory limit; nil: there is no limit
+	guardsMemory     bool         // whether Serve runs memoryGuard
 	overrides        *overrides   // manual ejections of endpoints
 	cluster          *clusterNode // this daemon's membership in a cluster; nil: it is in none; fixed at the start
 	hotRestart       *hotRestart  // coordination with other processes of this sidecar; nil: hot restart is not in use
@@ -147,19 +148,17 @@
 	return addrs
 }
 
+// GuardMemory makes Serve keep the process below its memory limit: it rejects new requests when the process comes close to the limit. It is
+// for a process that runs nothing but this Sidecar, since whatever else the process does counts too. It must be called before Serve.
+func (s *Sidecar) GuardMemory() { s.guardsMemory = true }
+
 // Serve returns once ctx has ended, or another process has replaced this one by hot restart, and every request has its
 // response. If a listener fails, Serve returns the listener's error at once.
 func (s *Sidecar) Serve(ctx context.Context) error {
 	defer s.hotRestart.close()
-	stopGuard, guardEnded := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(guardEnded)
-		s.memoryGuard.run(stopGuard)
-	}()
-	defer func() {
-		close(stopGuard)
-		<-guardEnded
-	}()
+	if s.guardsMemory {
+		defer s.memoryGuard.start()()
+	}
 	var finished <-chan struct{}
 	if s.hotRestart != nil {
 		finished = s.hotRestart.finished
